--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+GO ?= go
+PKGS ?= ./...
+TIMEOUT ?= 10m
+
+.PHONY: test build fmt vet lint demo soak bench
+
+## test: format check, vet, lint, build and all tests under the race detector.
+test: fmt vet lint build
+	$(GO) test -race -timeout $(TIMEOUT) $(PKGS)
+
+fmt:
+	@bad=$$(gofmt -l $$(git ls-files '*.go')); \
+	if [ -n "$$bad" ]; then echo "gofmt would change: $$bad"; exit 1; fi
+
+vet:
+	$(GO) vet $(PKGS)
+
+lint:
+	$(GO) tool staticcheck $(PKGS)
+
+build:
+	$(GO) build ./...
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem $(PKGS)
--- /dev/null
+++ b/pkg/engine/engine.go
@@ -0,0 +1,156 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+)
+
+// Role is the work that an engine takes.
+type Role string
+
+// Roles of backend servers.
+const (
+	Prefill Role = "prefill"
+	Decode  Role = "decode"
+	Service Role = "service"
+)
+
+// Info describes a backend server as the platform's host list gives it.
+type Info struct {
+	ID      ident.BackendID     `json:"id"`
+	Addr    string              `json:"addr"`
+	Domain  ident.FailureDomain `json:"domain"`
+	Role    Role                `json:"role"`
+	Model   ident.Model         `json:"model"`   // model or service name
+	Version ident.Version       `json:"version"` // empty for services
+	Group   string              `json:"group"`   // batch that operators can recall
+	Slots   int                 `json:"slots"`   // requests held at once
+	Leaving bool                `json:"leaving"` // takes no new work
+}
+
+// PrefillRequest asks for the KV cache of a prompt.
+type PrefillRequest struct {
+	Ref      ident.BackendRef `json:"ref"`
+	Model    ident.Model      `json:"model"`
+	Version  ident.Version    `json:"version"`
+	Adapter  ident.Version    `json:"adapter,omitempty"`
+	Prompt   string           `json:"prompt"`
+	Priority int              `json:"priority"` // higher runs first
+}
+
+// PrefillResult names a KV cache that the prefill engine keeps for Lifetime.
+type PrefillResult struct {
+	Ref      ident.BackendRef `json:"ref"`
+	Tokens   int              `json:"tokens"`
+	Cached   int              `json:"cached"` // tokens taken from the prefix cache
+	Checksum uint64           `json:"checksum"`
+	Bytes    int64            `json:"bytes"`
+	Lifetime time.Duration    `json:"lifetime_ns"`
+}
+
+// ImportRequest asks a decode engine to fetch a KV cache from a prefill engine.
+type ImportRequest struct {
+	Ref      ident.BackendRef `json:"ref"`
+	Model    ident.Model      `json:"model"`
+	Version  ident.Version    `json:"version"`
+	Adapter  ident.Version    `json:"adapter,omitempty"`
+	Source   string           `json:"source"` // address of the prefill engine
+	Checksum uint64           `json:"checksum"`
+	Bytes    int64            `json:"bytes"`
+}
+
+// ImportResult reports what the decode engine holds after the transfer.
+type ImportResult struct {
+	Ref      ident.BackendRef `json:"ref"`
+	Checksum uint64           `json:"checksum"` // computed over the imported copy
+}
+
+// DecodeRequest starts or resumes an output stream.
+type DecodeRequest struct {
+	Ref       ident.BackendRef `json:"ref"`
+	Model     ident.Model      `json:"model"`
+	Version   ident.Version    `json:"version"`
+	Offset    int              `json:"offset"` // output tokens that the caller already has
+	MaxTokens int              `json:"max_tokens"`
+	Priority  int              `json:"priority"`
+}
+
+// Chunk is a part of an output stream. A stream is complete only when a chunk
+// with Done set has come.
+type Chunk struct {
+	Ref    ident.BackendRef `json:"ref"`
+	Offset int              `json:"offset"` // index of the first token
+	Tokens []string         `json:"tokens,omitempty"`
+	Done   bool             `json:"done,omitempty"`
+	Finish string           `json:"finish,omitempty"` // "stop" or "length"
+}
+
+// HeldRequest is a request for which an engine holds memory.
+type HeldRequest struct {
+	Ref ident.BackendRef `json:"ref"`
+	Age time.Duration    `json:"age_ns"`
+}
+
+// Report is an engine's view of itself. It reaches the router late.
+type Report struct {
+	ID       ident.BackendID `json:"id"`
+	Sequence uint64          `json:"sequence"`
+	Start    uint64          `json:"start"` // changes with each restart of the engine
+	Role     Role            `json:"role"`
+	Model    ident.Model     `json:"model"`
+	Version  ident.Version   `json:"version"`
+	Slots    int             `json:"slots"`
+	Running  int             `json:"running"`
+	Queued   int             `json:"queued"`
+	Held     []HeldRequest   `json:"held,omitempty"`
+	Fence    uint64          `json:"fence"` // highest fencing number seen in an order
+	Leaving  bool            `json:"leaving"`
+}
+
+// CacheEvent says that an engine stored or dropped a block of a prompt prefix.
+// A gap in Sequence means that events were lost.
+type CacheEvent struct {
+	Sequence uint64 `json:"sequence"`
+	Block    uint64 `json:"block"` // hash of the prefix up to the end of the block
+	Stored   bool   `json:"stored"`
+}
+
+// OrderKind says what an order asks for.
+type OrderKind string
+
+// Kinds of orders.
+const (
+	OrderLoadVersion OrderKind = "load_version"
+	OrderLoadAdapter OrderKind = "load_adapter"
+	OrderChangeRole  OrderKind = "change_role"
+)
+
+// Order asks an engine to change what it serves. An engine that checks fencing
+// numbers refuses an order whose Fence is below the highest it has seen.
+type Order struct {
+	Fence   uint64        `json:"fence"`
+	Kind    OrderKind     `json:"kind"`
+	Model   ident.Model   `json:"model,omitempty"`
+	Version ident.Version `json:"version,omitempty"`
+	Role    Role          `json:"role,omitempty"`
+}
+
+// Engine is one model engine. All calls end when ctx ends. None retries.
+type Engine interface {
+	// Prefill computes the KV cache of a prompt.
+	Prefill(ctx context.Context, r PrefillRequest) (PrefillResult, error)
+	// Import makes a decode engine fetch a KV cache.
+	Import(ctx context.Context, r ImportRequest) (ImportResult, error)
+	// Decode streams tokens to emit until the stream is complete.
+	Decode(ctx context.Context, r DecodeRequest, emit func(Chunk) error) error
+	// Cancel frees what the engine holds for an attempt. It is idempotent.
+	Cancel(ctx context.Context, ref ident.BackendRef) error
+	// Report returns the engine's latest load report.
+	Report(ctx context.Context) (Report, error)
+	// Events returns cache events after a sequence number.
+	Events(ctx context.Context, after uint64) ([]CacheEvent, error)
+	// Order asks for a change of model, adapter, version or role.
+	Order(ctx context.Context, o Order) error
+}
