--- /dev/null
+++ b/pkg/ruleset/line.go
@@ -0,0 +1,230 @@
+package ruleset
+
+import (
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+)
+
+const (
+	maxName  = 64 // characters of a name
+	maxQuote = 40 // characters of the rules text that an error repeats
+
+	nameForm = "1 to 64 letters, digits, '.', '_' or '-', starting with a letter or digit"
+
+	// KeyIDForm describes a valid key id. The dot ends the id in a presented key.
+	KeyIDForm = "1 to 64 letters, digits, '_' or '-', starting with a letter or digit"
+)
+
+// word is one token of a line and its column.
+type word struct {
+	text   string
+	column int
+}
+
+// line reads the words of one rule. After a syntax error it is broken, and
+// further reads return zero values without reporting more errors. A value out
+// of range does not break it, so that all such values are reported at once.
+type line struct {
+	number  int
+	words   []word
+	end     int // column after the last word
+	form    string
+	broken  bool
+	invalid bool
+	errs    []Error
+}
+
+func (l *line) fail(column int, fix, cause string, args ...any) {
+	l.invalid = true
+	l.errs = append(l.errs, Error{
+		Line: l.number, Column: column, Cause: fmt.Sprintf(cause, args...), Fix: fix,
+	})
+}
+
+// next returns the next word. what names it in the error.
+func (l *line) next(what string) (word, bool) {
+	if l.broken {
+		return word{}, false
+	}
+	if len(l.words) == 0 {
+		l.broken = true
+		l.fail(l.end, "write `"+l.form+"`", "%s is missing", what)
+		return word{}, false
+	}
+	w := l.words[0]
+	l.words = l.words[1:]
+	return w, true
+}
+
+func (l *line) keyword(want string) {
+	w, ok := l.next("`" + want + "`")
+	if ok && w.text != want {
+		l.broken = true
+		l.fail(w.column, "write `"+l.form+"`", "%s where `%s` is expected", quote(w.text), want)
+	}
+}
+
+// choice returns one of the options.
+func (l *line) choice(options ...string) string {
+	list := strings.Join(options, "` or `")
+	w, ok := l.next("`" + list + "`")
+	if !ok {
+		return ""
+	}
+	if !slices.Contains(options, w.text) {
+		l.broken = true
+		l.fail(w.column, "write `"+list+"`", "%s where `%s` is expected", quote(w.text), list)
+		return ""
+	}
+	return w.text
+}
+
+// name returns a name, or an empty word when there is none or it is malformed.
+func (l *line) name(what string) word {
+	w, ok := l.next(what)
+	if ok && !validName(w.text, "._-") {
+		l.fail(w.column, "use "+nameForm, "%s %s is malformed", what, quote(w.text))
+		return word{}
+	}
+	return w
+}
+
+func (l *line) keyID() word {
+	w, ok := l.next("key id")
+	if ok && !ValidKeyID(w.text) {
+		l.fail(w.column, "use "+KeyIDForm, "key id %s is malformed", quote(w.text))
+		return word{}
+	}
+	return w
+}
+
+// integer returns a whole number from 1 to limit.
+func (l *line) integer(what, unit string, limit int64) int64 {
+	w, ok := l.next(what)
+	if !ok {
+		return 0
+	}
+	n, err := strconv.ParseInt(w.text, 10, 64)
+	if err != nil || n < 1 || n > limit || w.text[0] == '+' {
+		fix := fmt.Sprintf("use a whole number of %s from 1 to %d", unit, limit)
+		l.fail(w.column, fix, "%s %s is out of range", what, quote(w.text))
+		return 0
+	}
+	return n
+}
+
+// bytes returns the value of a hexadecimal word of minimum to maximum bytes.
+func (l *line) bytes(what string, minimum, maximum int) []byte {
+	w, ok := l.next(what)
+	if !ok {
+		return nil
+	}
+	b, err := hex.DecodeString(w.text)
+	if err != nil || len(b) < minimum || len(b) > maximum {
+		fix := fmt.Sprintf("use %d to %d hexadecimal digits as `mulberryctl key new` prints them",
+			2*minimum, 2*maximum)
+		if minimum == maximum {
+			fix = fmt.Sprintf("use %d hexadecimal digits as `mulberryctl key new` prints them", 2*minimum)
+		}
+		l.fail(w.column, fix, "%s %s is malformed", what, quote(w.text))
+		return nil
+	}
+	return b
+}
+
+func (l *line) duration(what string, minimum, maximum time.Duration) time.Duration {
+	w, ok := l.next(what)
+	if !ok {
+		return 0
+	}
+	d, err := time.ParseDuration(w.text)
+	if err != nil || d < minimum || d > maximum {
+		fix := fmt.Sprintf("use a duration from %s to %s, such as 10m or 1h30m", minimum, maximum)
+		l.fail(w.column, fix, "%s %s is out of range", what, quote(w.text))
+		return 0
+	}
+	return d
+}
+
+// done reports whether the line is valid and has no further words.
+func (l *line) done() bool {
+	if !l.broken && len(l.words) > 0 {
+		w := l.words[0]
+		l.broken = true
+		l.fail(w.column, "write `"+l.form+"`", "%s after the end of the rule", quote(w.text))
+	}
+	return !l.invalid
+}
+
+// ValidKeyID reports whether s has the form that KeyIDForm describes.
+func ValidKeyID(s string) bool { return validName(s, "_-") }
+
+func validName(s, punctuation string) bool {
+	if s == "" || len(s) > maxName || strings.IndexByte(punctuation, s[0]) >= 0 {
+		return false
+	}
+	for i := range len(s) {
+		c := s[i]
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		digit := c >= '0' && c <= '9'
+		if !letter && !digit && strings.IndexByte(punctuation, c) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// splitWords returns the words of s with their columns, counted in characters.
+func splitWords(s string) []word {
+	var out []word
+	start, column := -1, 0
+	for i, c := range s {
+		column++
+		blank := c == ' ' || c == '\t'
+		switch {
+		case blank && start >= 0:
+			out[len(out)-1].text = s[start:i]
+			start = -1
+		case !blank && start < 0:
+			start = i
+			out = append(out, word{column: column})
+		}
+	}
+	if start >= 0 {
+		out[len(out)-1].text = s[start:]
+	}
+	return out
+}
+
+// badCharacter returns the column of the first character of s that is not valid
+// UTF-8 or is a control character other than a tab, or 0.
+func badCharacter(s string) int {
+	column := 0
+	for i, c := range s {
+		column++
+		if c == utf8.RuneError {
+			if _, n := utf8.DecodeRuneInString(s[i:]); n <= 1 {
+				return column
+			}
+		}
+		if c != '\t' && unicode.IsControl(c) {
+			return column
+		}
+	}
+	return 0
+}
+
+// quote returns s as a short quoted string on one line.
+func quote(s string) string {
+	r := []rune(s)
+	if len(r) > maxQuote {
+		return strconv.Quote(string(r[:maxQuote]) + "...")
+	}
+	return strconv.Quote(s)
+}
--- /dev/null
+++ b/pkg/ruleset/rules.go
@@ -0,0 +1,254 @@
+package ruleset
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+)
+
+// Rules are the parsed rules of one generation. They never change after Parse.
+type Rules struct {
+	rules   []rule // in canonical order
+	header  string // comment lines before the first blank line
+	trailer string // comment lines after the last rule
+
+	domains       map[ident.FailureDomain]Domain
+	organisations map[ident.Organisation]Organisation
+	models        map[ident.Model]Model
+	routes        map[ident.Route]Route
+	allows        map[grant]Allow
+	keys          map[ident.KeyID]Key
+	fencing       map[string]Fencing
+	recalls       map[batch]Recall
+	stale         staleRule
+
+	slots      int
+	routeDepth int // most path segments of a route
+}
+
+type grant struct {
+	organisation ident.Organisation
+	target       ident.Model
+}
+
+// batch is a Recall without its origin.
+type batch struct {
+	kind  RecallKind
+	model ident.Model
+	name  string
+}
+
+func (r Recall) batch() batch {
+	switch r.Kind {
+	case RecallVersion:
+		return batch{kind: RecallVersion, model: r.Model, name: string(r.Version)}
+	case RecallAdapter:
+		return batch{kind: RecallAdapter, name: string(r.Adapter)}
+	default:
+		return batch{kind: RecallEngines, name: r.Group}
+	}
+}
+
+func newRules(parsed []rule) *Rules {
+	r := &Rules{
+		rules:         parsed,
+		domains:       map[ident.FailureDomain]Domain{},
+		organisations: map[ident.Organisation]Organisation{},
+		models:        map[ident.Model]Model{},
+		routes:        map[ident.Route]Route{},
+		allows:        map[grant]Allow{},
+		keys:          map[ident.KeyID]Key{},
+		fencing:       map[string]Fencing{},
+		recalls:       map[batch]Recall{},
+	}
+	slices.SortFunc(r.rules, compareRules)
+	for _, p := range r.rules {
+		r.add(p)
+	}
+	return r
+}
+
+func (r *Rules) add(p rule) {
+	switch p := p.(type) {
+	case Domain:
+		r.domains[p.Name] = p
+		r.slots += p.Slots
+	case Organisation:
+		r.organisations[p.Name] = p
+	case Model:
+		r.models[p.Name] = p
+	case Route:
+		r.routes[p.Path] = p
+		r.routeDepth = max(r.routeDepth, strings.Count(string(p.Path), "/"))
+	case Allow:
+		r.allows[grant{p.Organisation, p.Target}] = p
+	case Key:
+		r.keys[p.ID] = p
+	case Fencing:
+		r.fencing[p.Group] = p
+	case Recall:
+		r.recalls[p.batch()] = p
+	case staleRule:
+		r.stale = p
+	}
+}
+
+func compareRules(a, b rule) int {
+	return cmp.Or(
+		cmp.Compare(slices.Index(kindOrder, a.kind()), slices.Index(kindOrder, b.kind())),
+		cmp.Compare(a.name(), b.name()),
+	)
+}
+
+// Organisation returns the organisation of that name.
+func (r *Rules) Organisation(name ident.Organisation) (Organisation, bool) {
+	o, ok := r.organisations[name]
+	return o, ok
+}
+
+// Organisations returns all organisations, sorted by name.
+func (r *Rules) Organisations() []Organisation { return sorted(r.organisations) }
+
+// Allowed reports whether the organisation may use a model or service. It does
+// not consider recalls.
+func (r *Rules) Allowed(o ident.Organisation, target ident.Model) bool {
+	_, ok := r.allows[grant{o, target}]
+	return ok
+}
+
+// Key returns the key of that id.
+func (r *Rules) Key(id ident.KeyID) (Key, bool) {
+	k, ok := r.keys[id]
+	return k, ok
+}
+
+// Keys returns all keys, sorted by id.
+func (r *Rules) Keys() []Key { return sorted(r.keys) }
+
+// Route returns the route with the longest path that is a prefix of path and
+// ends at a segment boundary. The path must be decoded. A path with an empty,
+// "." or ".." segment has no route: a service that resolves such segments would
+// see another path than the one whose rule was applied.
+func (r *Rules) Route(path string) (Route, bool) {
+	if !strings.HasPrefix(path, "/") || unclean(path) {
+		return Route{}, false
+	}
+	for prefix := leadingSegments(path, r.routeDepth); prefix != ""; {
+		if found, ok := r.routes[ident.Route(prefix)]; ok {
+			return found, true
+		}
+		prefix = prefix[:strings.LastIndexByte(prefix, '/')]
+	}
+	return Route{}, false
+}
+
+// leadingSegments cuts path after n segments, so that the cost of a lookup is
+// bounded by the rules and not by the caller's path.
+func leadingSegments(path string, n int) string {
+	for i := range len(path) {
+		if path[i] != '/' {
+			continue
+		}
+		if n == 0 {
+			return path[:i]
+		}
+		n--
+	}
+	return path
+}
+
+// unclean reports whether path has an empty, "." or ".." segment. A trailing
+// slash is allowed.
+func unclean(path string) bool {
+	rest := strings.TrimSuffix(path[1:], "/")
+	if rest == "" {
+		return path != "/"
+	}
+	for segment := range strings.SplitSeq(rest, "/") {
+		if segment == "" || segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
+
+// Model returns the model of that name. The caller owns its Versions.
+func (r *Rules) Model(name ident.Model) (Model, bool) {
+	m, ok := r.models[name]
+	m.Versions = slices.Clone(m.Versions)
+	return m, ok
+}
+
+// Models returns all models, sorted by name. The caller owns their Versions.
+func (r *Rules) Models() []Model {
+	out := sorted(r.models)
+	for i := range out {
+		out[i].Versions = slices.Clone(out[i].Versions)
+	}
+	return out
+}
+
+// Routes returns all routes, sorted by path.
+func (r *Rules) Routes() []Route { return sorted(r.routes) }
+
+// Domains returns all failure domains, sorted by name.
+func (r *Rules) Domains() []Domain { return sorted(r.domains) }
+
+// SlotCount returns the number of slots of all domains together.
+func (r *Rules) SlotCount() int { return r.slots }
+
+// Recalls returns all recalls: versions, adapters, then engine groups, each
+// sorted by name.
+func (r *Rules) Recalls() []Recall {
+	order := []RecallKind{RecallVersion, RecallAdapter, RecallEngines}
+	return slices.SortedFunc(maps.Values(r.recalls), func(a, b Recall) int {
+		return cmp.Or(
+			cmp.Compare(slices.Index(order, a.Kind), slices.Index(order, b.Kind)),
+			cmp.Compare(a.name(), b.name()),
+		)
+	})
+}
+
+// Recalled reports whether work on that version of a model, with that adapter,
+// on engines of that group is recalled. An empty argument matches no recall.
+func (r *Rules) Recalled(model ident.Model, version, adapter ident.Version, group string) bool {
+	if len(r.recalls) == 0 {
+		return false
+	}
+	return r.recalled(batch{kind: RecallVersion, model: model, name: string(version)}) ||
+		r.recalled(batch{kind: RecallAdapter, name: string(adapter)}) ||
+		r.recalled(batch{kind: RecallEngines, name: group})
+}
+
+func (r *Rules) recalled(b batch) bool {
+	_, ok := r.recalls[b]
+	return ok
+}
+
+// Stale returns what happens to keyed traffic while the configuration is old.
+func (r *Rules) Stale() Stale { return r.stale.Stale }
+
+// FencingChecked reports whether the engines of a group refuse stale fencing
+// numbers. Without a rule the answer is false: a wrong false costs a wait, a
+// wrong true would let a former pool owner's order take effect.
+func (r *Rules) FencingChecked(group string) bool { return r.fencing[group].Checked }
+
+// Equal reports whether both have the same rules and comments. The lines on
+// which the rules stand do not matter.
+func (r *Rules) Equal(o *Rules) bool {
+	same := func(a, b rule) bool {
+		return a.kind() == b.kind() && a.name() == b.name() && a.String() == b.String() &&
+			a.origin().Comment == b.origin().Comment && a.origin().above == b.origin().above
+	}
+	return r.header == o.header && r.trailer == o.trailer &&
+		slices.EqualFunc(r.rules, o.rules, same)
+}
+
+func sorted[K comparable, R rule](m map[K]R) []R {
+	return slices.SortedFunc(maps.Values(m), func(a, b R) int {
+		return cmp.Compare(a.name(), b.name())
+	})
+}
