Add send-once HTTP client and engine adapter

Cause: the router needs an HTTP adapter for engines that never sends a request twice, and fasthttp's HostClient repeats GET and PUT after an error and ends no call when its context is cancelled. Change: pkg/sendonce uses fasthttp's message codec over its own connection pool; pkg/engine/enginehttp implements engine.Engine and plain service forwarding on it; engine.Error says code and NotRun.

--- /dev/null
+++ b/pkg/engine/enginehttp/service.go
@@ -0,0 +1,90 @@
+package enginehttp
+
+import (
+	"context"
+	"errors"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/mulberrystream/mulberrystream/pkg/engine"
+	"github.com/mulberrystream/mulberrystream/pkg/sendonce"
+)
+
+// Header is one header line.
+type Header struct {
+	Name  string
+	Value string
+}
+
+// ServiceClient is a plain service at one address.
+type ServiceClient struct {
+	conn *sendonce.Client
+}
+
+// NewService returns a client of the plain service at addr.
+func NewService(addr string, opt sendonce.Options) *ServiceClient {
+	return &ServiceClient{conn: sendonce.New(addr, opt)}
+}
+
+// Close closes idle connections; running calls go on.
+func (s *ServiceClient) Close() { s.conn.Close() }
+
+var errBadTarget = errors.New("path must start with / and hold no spaces or control characters")
+
+// Forward sends a request to the service at most once. An error is an
+// *engine.Error; its NotRun is true only when no byte has left. Hop-by-hop
+// headers are not forwarded. Authorization is not forwarded either, whatever the
+// caller of Forward did with it: no backend server may see a key.
+func (s *ServiceClient) Forward(
+	ctx context.Context, method, path string, header []Header, body []byte,
+) (status int, respHeader []Header, respBody []byte, err error) {
+	if !validTarget(path) || !validTarget("/"+method) {
+		return 0, nil, nil, &engine.Error{
+			Step: "forward", Peer: s.conn.Addr(), Code: engine.CodeBadRequest, NotRun: true, Err: errBadTarget,
+		}
+	}
+	req := newRequest(s.conn.Addr(), method, path)
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetNoDefaultContentType(true)
+	for _, h := range header {
+		if !dropped(h.Name) {
+			req.Header.Add(h.Name, h.Value)
+		}
+	}
+	req.SetBodyRaw(body)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if err := s.conn.Do(ctx, req, resp); err != nil {
+		return 0, nil, nil, connError("forward", s.conn.Addr(), err)
+	}
+	for name, value := range resp.Header.All() {
+		if !dropped(string(name)) {
+			respHeader = append(respHeader, Header{Name: string(name), Value: string(value)})
+		}
+	}
+	return resp.StatusCode(), respHeader, append([]byte(nil), resp.Body()...), nil
+}
+
+func validTarget(path string) bool {
+	if !strings.HasPrefix(path, "/") {
+		return false
+	}
+	for i := range len(path) {
+		if path[i] <= ' ' || path[i] == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// dropped reports whether a header belongs to one connection only, or is a key.
+func dropped(name string) bool {
+	switch strings.ToLower(name) {
+	case "authorization", "connection", "content-length", "host", "keep-alive",
+		"proxy-authenticate", "proxy-authorization", "proxy-connection", "te",
+		"trailer", "transfer-encoding", "upgrade":
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/engine/error.go
@@ -0,0 +1,41 @@
+package engine
+
+import "fmt"
+
+// Codes of errors. A backend server may send others.
+const (
+	CodeBadRequest     = "bad_request"
+	CodeUnknownAttempt = "unknown_attempt" // no KV cache for the attempt
+	CodeStaleFence     = "stale_fence"
+	CodeFull           = "full"
+	CodeLeaving        = "leaving"
+	CodeConnect        = "connect"      // no connection
+	CodeBroken         = "broken"       // the connection ended before the answer did
+	CodeCancelled      = "cancelled"    // the caller's context was cancelled
+	CodeTimeout        = "timeout"      // the caller's deadline or the chunk timeout passed
+	CodeMalformed      = "malformed"    // the answer could not be parsed
+	CodeWrongRef       = "wrong_ref"    // the answer belongs to another attempt
+	CodeWrongOffset    = "wrong_offset" // a chunk repeats or skips tokens
+	CodeIncomplete     = "incomplete"   // the stream ended before its last chunk
+	CodeUnexpected     = "unexpected"   // a status without a code
+)
+
+// Error is a failed call to a backend server.
+type Error struct {
+	Step   string // the call, such as "decode"
+	Peer   string // address
+	Code   string
+	NotRun bool // the backend server surely did not start the work
+	Err    error
+}
+
+// Error says the step, the peer, the code and the cause.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("%s at %s: %s", e.Step, e.Peer, e.Code)
+	}
+	return fmt.Sprintf("%s at %s: %s: %v", e.Step, e.Peer, e.Code, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/pkg/sendonce/client.go
@@ -0,0 +1,245 @@
+package sendonce
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// ErrTooManyConns says that MaxConns calls are already running to the peer.
+var ErrTooManyConns = errors.New("too many connections")
+
+// ErrClosed says that the client has been closed.
+var ErrClosed = errors.New("client closed")
+
+// Options bounds the resources of a client. A zero field takes its default.
+type Options struct {
+	DialTimeout time.Duration // 1 s; shorter detects a lost peer sooner
+	IdleTimeout time.Duration // 30 s; an idle connection is closed after it
+	MaxIdle     int           // 32 connections kept for reuse
+	MaxConns    int           // 1024 calls at once; more fail unsent
+	MaxBody     int           // 16 MiB; bytes of a response that is not streamed
+	BufferSize  int           // 4 KiB; read buffer, also the largest header
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.DialTimeout, time.Second)
+	setDefault(&o.IdleTimeout, 30*time.Second)
+	setDefault(&o.MaxIdle, 32)
+	setDefault(&o.MaxConns, 1024)
+	setDefault(&o.MaxBody, 16<<20)
+	setDefault(&o.BufferSize, 4<<10)
+	return o
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+// Error is a failed call.
+type Error struct {
+	Step string // "connect", "send" or "receive"
+	Peer string // address
+	Sent bool   // a byte of the request may have reached the peer
+	Err  error
+}
+
+// Error says the step, the peer and the cause.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s %s: %v", e.Step, e.Peer, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Client calls one address. It is safe for concurrent use.
+type Client struct {
+	addr   string
+	opt    Options
+	mu     sync.Mutex
+	idle   []*conn // last used last
+	open   int
+	closed bool
+}
+
+// New returns a client of addr. It connects at the first call.
+func New(addr string, opt Options) *Client {
+	return &Client{addr: addr, opt: opt.withDefaults()}
+}
+
+// Addr returns the peer's address.
+func (c *Client) Addr() string { return c.addr }
+
+// Open returns the number of connections, idle ones included.
+func (c *Client) Open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open
+}
+
+// Close closes idle connections and makes later calls fail. Running calls go on.
+func (c *Client) Close() {
+	c.mu.Lock()
+	idle := c.idle
+	c.idle = nil
+	c.closed = true
+	c.mu.Unlock()
+	for _, cn := range idle {
+		c.drop(cn)
+	}
+}
+
+// Do sends req once and reads the whole response. It ends when ctx ends.
+func (c *Client) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
+	cn, err := c.acquire(ctx)
+	if err != nil {
+		return c.fail(ctx, "connect", nil, err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = cn.nc.Close() })
+	step, err := c.roundTrip(cn, req, resp)
+	if !stop() && err == nil {
+		// The answer is whole, but the connection has been closed.
+		c.drop(cn)
+		return nil
+	}
+	if err != nil {
+		c.drop(cn)
+		return c.fail(ctx, step, cn, err)
+	}
+	c.release(cn, req.ConnectionClose() || resp.ConnectionClose())
+	return nil
+}
+
+// roundTrip writes the request and reads the response, and names the step that
+// failed.
+func (c *Client) roundTrip(cn *conn, req *fasthttp.Request, resp *fasthttp.Response) (string, error) {
+	bw := bufio.NewWriterSize(cn, c.opt.BufferSize)
+	if err := req.Write(bw); err != nil {
+		return "send", err
+	}
+	if err := bw.Flush(); err != nil {
+		return "send", err
+	}
+	resp.SkipBody = req.Header.IsHead()
+	if err := resp.ReadLimitBody(cn.br, c.opt.MaxBody); err != nil {
+		return "receive", err
+	}
+	return "", nil
+}
+
+func (c *Client) fail(ctx context.Context, step string, cn *conn, err error) error {
+	if ctx.Err() != nil {
+		err = context.Cause(ctx)
+	}
+	return &Error{
+		Step: step,
+		Peer: c.addr,
+		Sent: cn != nil && cn.written.Load() > 0,
+		Err:  err,
+	}
+}
+
+// acquire takes an idle connection that is still open, or dials.
+func (c *Client) acquire(ctx context.Context) (*conn, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	for {
+		cn, err := c.takeIdle()
+		if err != nil {
+			return nil, err
+		}
+		if cn == nil {
+			return c.dial(ctx)
+		}
+		fresh := time.Since(cn.idleSince) < c.opt.IdleTimeout
+		if fresh && cn.usable() && cn.reset() == nil {
+			return cn, nil
+		}
+		c.drop(cn)
+	}
+}
+
+// takeIdle returns the last used idle connection. Without one it counts a new
+// connection and returns nil.
+func (c *Client) takeIdle() (*conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, ErrClosed
+	}
+	if n := len(c.idle); n > 0 {
+		cn := c.idle[n-1]
+		c.idle = c.idle[:n-1]
+		return cn, nil
+	}
+	if c.open >= c.opt.MaxConns {
+		return nil, ErrTooManyConns
+	}
+	c.open++
+	return nil, nil
+}
+
+func (c *Client) dial(ctx context.Context) (*conn, error) {
+	d := net.Dialer{Timeout: c.opt.DialTimeout}
+	nc, err := d.DialContext(ctx, "tcp", c.addr)
+	if err != nil {
+		c.forget()
+		return nil, err
+	}
+	return newConn(nc, c.opt.BufferSize), nil
+}
+
+// release keeps a connection for reuse unless the peer closes it or has sent
+// more than it was asked for.
+func (c *Client) release(cn *conn, lastUse bool) {
+	if lastUse || cn.br.Buffered() > 0 {
+		c.drop(cn)
+		return
+	}
+	cn.idleSince = time.Now()
+	c.mu.Lock()
+	stale := c.takeStaleLocked()
+	keep := !c.closed && len(c.idle) < c.opt.MaxIdle
+	if keep {
+		c.idle = append(c.idle, cn)
+	}
+	c.mu.Unlock()
+	if !keep {
+		c.drop(cn)
+	}
+	for _, s := range stale {
+		c.drop(s)
+	}
+}
+
+// takeStaleLocked removes the connections that have been idle for too long; they
+// are first in the list.
+func (c *Client) takeStaleLocked() []*conn {
+	n := 0
+	for n < len(c.idle) && time.Since(c.idle[n].idleSince) >= c.opt.IdleTimeout {
+		n++
+	}
+	stale := append([]*conn(nil), c.idle[:n]...)
+	c.idle = append(c.idle[:0], c.idle[n:]...)
+	return stale
+}
+
+func (c *Client) drop(cn *conn) {
+	_ = cn.nc.Close()
+	c.forget()
+}
+
+func (c *Client) forget() {
+	c.mu.Lock()
+	c.open--
+	c.mu.Unlock()
+}
