membership: add the API and a first version

Cause: pkg/node composes the parts and needs the API of membership. Change: heartbeats with rotating fan-out and a digest of sequence numbers, failure detection, incarnations and slots, delegates and domain summaries.

--- /dev/null
+++ b/pkg/membership/view.go
@@ -0,0 +1,58 @@
+package membership
+
+import "time"
+
+// View returns what is known at a time.
+func (g *Group) View(now time.Time) View {
+	v := View{
+		Hosts:   make([]Host, 0, len(g.order)),
+		Domains: make([]DomainSummary, 0, len(g.domains.order)),
+	}
+	for _, id := range g.order {
+		v.Hosts = append(v.Hosts, g.host(now, g.peers[id]))
+	}
+	for _, name := range g.domains.order {
+		dom := g.domains.byName[name]
+		v.Domains = append(v.Domains, dom.summary(now, g.cfg.domainSilent(), g.cfg.Delegates))
+	}
+	return v
+}
+
+func (g *Group) host(now time.Time, p *peer) Host {
+	h := Host{
+		Process:        p.process(),
+		Addr:           p.addr,
+		Domain:         g.cfg.Domain,
+		Slot:           p.slot,
+		State:          p.state,
+		Leaving:        p.isLeaving(),
+		Ready:          p.ready,
+		Acked:          g.hearsUs(now, p),
+		Revision:       p.revision,
+		Digest:         p.digest,
+		PlatformSilent: p.platformSilentAt(now),
+		Silent:         now.Sub(p.heardAt),
+	}
+	return h
+}
+
+// hearsUs reports whether a live peer has acknowledged a heartbeat of ours that
+// is not older than SuspectAfter plus two turns of the rotation: ours to it, and
+// its answer.
+func (g *Group) hearsUs(now time.Time, p *peer) bool {
+	if p.state == Dead || p.acked == 0 {
+		return false
+	}
+	sent, ok := g.sentAt(p.acked)
+	return ok && now.Sub(sent) <= g.cfg.SuspectAfter+2*g.cycle()
+}
+
+// cycle is the time in which the rotation reaches every live peer.
+func (g *Group) cycle() time.Duration {
+	perBeat := max(1, g.cfg.Fanout-1)
+	beats := (len(g.order) + perBeat - 1) / perBeat
+	if len(g.order) <= g.cfg.Fanout {
+		beats = 1
+	}
+	return time.Duration(beats) * g.cfg.Interval
+}
