limits: add token buckets with loans between hosts

Hosts need a rate and burst that hold over the whole fleet without shared state. Each slot mints its fixed share, and short hosts borrow through a hub per organisation and failure domain.

No test has been run yet.

--- /dev/null
+++ b/pkg/limits/hub.go
@@ -0,0 +1,296 @@
+package limits
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+)
+
+const (
+	// lenderFanout and domainFanout bound the hosts that a hub asks at a time. A
+	// hub asks first those that are expected to have most.
+	lenderFanout = 8
+	domainFanout = 4
+	// hubRounds bounds how often a hub asks again when hosts lend less than expected.
+	hubRounds = 4
+)
+
+// hub brokers loans between the hosts of the own domain and other hubs.
+type hub struct {
+	brokered map[ID]*brokered
+	queue    []*brokered // in the order in which they end
+	// spare holds what hosts and remote hubs said they have left.
+	spare map[ident.Organisation]map[ident.HostID]spare
+}
+
+func newHub() hub {
+	return hub{brokered: map[ID]*brokered{}, spare: map[ident.Organisation]map[ident.HostID]spare{}}
+}
+
+// spare is a host's own statement about its tokens, which grow by minting.
+type spare struct {
+	tokens float64
+	at     time.Time
+}
+
+// brokered is a borrow request under way.
+type brokered struct {
+	msg     Borrow
+	from    ident.HostID // asker, which gets the Report
+	need    float64      // tokens still to be found
+	want    float64
+	granted float64
+	asked   map[ident.HostID]bool
+	pending map[ident.HostID]bool
+	rounds  int
+	roundBy time.Time // silent hosts are not waited for after this time
+	end     time.Time
+	done    bool
+}
+
+// receiveBorrow handles a request according to its step.
+func (l *Limiter) receiveBorrow(from ident.HostID, m Borrow, res *Result) {
+	if m.Step != ToLender {
+		l.broker(from, m, res)
+		return
+	}
+	granted := l.lend(m, res)
+	res.send(from, Message{Report: &Report{Borrow: m.ID, Organisation: m.Organisation, Granted: granted, Spare: l.spareTokens(m.Organisation)}})
+}
+
+// spareTokens returns what this host could lend now.
+func (l *Limiter) spareTokens(org ident.Organisation) int64 {
+	b := l.orgs[org]
+	if b == nil {
+		return 0
+	}
+	return int64(l.lendable(b))
+}
+
+// broker starts the search for lenders. A repeated request is ignored.
+func (l *Limiter) broker(from ident.HostID, m Borrow, res *Result) {
+	if l.hub.brokered[m.ID] != nil || len(l.hub.brokered) >= maxBrokered {
+		return
+	}
+	now := l.slot.now
+	x := &brokered{
+		msg:     m,
+		from:    from,
+		need:    float64(m.Need),
+		want:    float64(m.Want),
+		asked:   map[ident.HostID]bool{m.ID.Process.Host: true},
+		pending: map[ident.HostID]bool{},
+		end:     now.Add(l.cfg.BorrowTimeout),
+	}
+	l.hub.brokered[m.ID] = x
+	l.hub.queue = append(l.hub.queue, x)
+	if !x.asked[l.cfg.Self.Host] {
+		x.asked[l.cfg.Self.Host] = true
+		own := m
+		own.Step = ToLender
+		x.grant(float64(l.lend(own, res)))
+	}
+	l.search(x, res)
+}
+
+func (x *brokered) grant(n float64) {
+	x.granted += n
+	x.need -= n
+	x.want -= n
+}
+
+// search asks the next lenders, or ends the request when the need is covered or
+// nobody is left to ask.
+func (l *Limiter) search(x *brokered, res *Result) {
+	if x.done || len(x.pending) > 0 {
+		return
+	}
+	b := l.orgs[x.msg.Organisation]
+	if x.need <= 0 || x.rounds >= hubRounds || b == nil || b.policy != x.msg.Policy {
+		l.finish(x, res)
+		return
+	}
+	x.rounds++
+	x.roundBy = l.slot.now.Add(l.cfg.BorrowTimeout / hubRounds)
+	lack := l.ask(x, l.candidates(x, l.peers, b, 1), ToLender, lenderFanout, x.want, res)
+	if x.msg.Step == ToHub && lack > 0 {
+		l.ask(x, l.remoteHubs(x, b), ToRemoteHub, domainFanout, lack, res)
+	}
+	if len(x.pending) == 0 {
+		l.finish(x, res)
+	}
+}
+
+// candidate is a host that may be asked, with what it is expected to have.
+type candidate struct {
+	host   ident.HostID
+	tokens float64
+}
+
+// ask sends the request to the best candidates and returns what they are not
+// expected to cover.
+func (l *Limiter) ask(x *brokered, cs []candidate, step Step, fanout int, lack float64, res *Result) float64 {
+	for i, c := range cs {
+		if i >= fanout || lack <= 0 {
+			break
+		}
+		m := x.msg
+		m.Step = step
+		m.Want = int64(math.Ceil(min(lack, c.tokens)))
+		m.Need = min(m.Want, int64(math.Ceil(x.need)))
+		x.asked[c.host] = true
+		x.pending[c.host] = true
+		res.send(c.host, Message{Borrow: &m})
+		lack -= c.tokens
+	}
+	return lack
+}
+
+// remoteHubs returns one hub of each other domain that has not been asked.
+func (l *Limiter) remoteHubs(x *brokered, b *bucket) []candidate {
+	hosts := make([]ident.HostID, 0, len(l.remotes))
+	for _, r := range l.remotes {
+		hosts = append(hosts, ident.Owner(hubKey(b.name), r.hosts))
+	}
+	return l.candidates(x, hosts, b, float64(len(l.peers)))
+}
+
+// candidates returns hosts that are expected to have a token, the richest first.
+// size is how many slots stand behind each host.
+func (l *Limiter) candidates(x *brokered, hosts []ident.HostID, b *bucket, size float64) []candidate {
+	known := l.hub.spare[b.name]
+	share := l.slotShare()
+	cs := make([]candidate, 0, len(hosts))
+	for _, h := range hosts {
+		if x.asked[h] {
+			continue
+		}
+		tokens := share * b.policy.Burst * size
+		if s, ok := known[h]; ok {
+			minted := l.slot.now.Sub(s.at).Seconds() * b.policy.Rate * share * size
+			tokens = min(tokens, s.tokens+minted)
+		}
+		if tokens >= 1 {
+			cs = append(cs, candidate{host: h, tokens: tokens})
+		}
+	}
+	slices.SortFunc(cs, func(a, b candidate) int {
+		if c := compare(b.tokens, a.tokens); c != 0 {
+			return c
+		}
+		return compare(a.host, b.host)
+	})
+	return cs
+}
+
+// slotShare returns the share of a slot, or an estimate on a host without slot.
+func (l *Limiter) slotShare() float64 {
+	if l.share.now > 0 {
+		return l.share.now
+	}
+	return 1 / float64(len(l.peers)*(len(l.remotes)+1))
+}
+
+// receiveReport records what a lender or remote hub has left and goes on with
+// the search. A report for an own borrow request ends it.
+func (l *Limiter) receiveReport(from ident.HostID, m Report, res *Result) {
+	l.hub.note(m.Organisation, from, spare{tokens: float64(m.Spare), at: l.slot.now})
+	if x := l.hub.brokered[m.Borrow]; x != nil {
+		if x.pending[from] {
+			delete(x.pending, from)
+			x.grant(float64(m.Granted))
+			l.search(x, res)
+		}
+		return
+	}
+	if br := l.borrows[m.Borrow]; br != nil {
+		l.searchEnded(br, float64(m.Granted), res)
+	}
+}
+
+func (h *hub) note(org ident.Organisation, host ident.HostID, s spare) {
+	m := h.spare[org]
+	if m == nil {
+		m = map[ident.HostID]spare{}
+		h.spare[org] = m
+	}
+	m[host] = s
+}
+
+// finish reports the result: always to another hub, to a borrower only when its
+// need is not covered, since it sees the loans.
+func (l *Limiter) finish(x *brokered, res *Result) {
+	x.done = true
+	if x.msg.Step == ToHub && x.need <= 0 {
+		return
+	}
+	if x.from == l.cfg.Self.Host {
+		if br := l.borrows[x.msg.ID]; br != nil {
+			l.searchEnded(br, x.granted, res)
+		}
+		return
+	}
+	res.send(x.from, Message{Report: &Report{
+		Borrow:       x.msg.ID,
+		Organisation: x.msg.Organisation,
+		Granted:      int64(x.granted),
+		Spare:        int64(l.domainSpare(x)),
+	}})
+}
+
+// domainSpare estimates what the own domain could still lend.
+func (l *Limiter) domainSpare(x *brokered) float64 {
+	b := l.orgs[x.msg.Organisation]
+	if b == nil || b.policy != x.msg.Policy {
+		return 0
+	}
+	sum := l.lendable(b)
+	for _, c := range l.candidates(&brokered{asked: map[ident.HostID]bool{l.cfg.Self.Host: true}}, l.peers, b, 1) {
+		sum += c.tokens
+	}
+	return sum
+}
+
+// tickHub stops waiting for silent hosts and forgets old requests. These stay
+// known until their end, so that duplicates are recognised.
+func (l *Limiter) tickHub(res *Result) {
+	now := l.slot.now
+	for len(l.hub.queue) > 0 && !now.Before(l.hub.queue[0].end) {
+		delete(l.hub.brokered, l.hub.queue[0].msg.ID)
+		l.hub.queue[0] = nil
+		l.hub.queue = l.hub.queue[1:]
+	}
+	for _, x := range l.hub.queue {
+		if !x.done && !now.Before(x.roundBy) {
+			clear(x.pending)
+			l.search(x, res)
+		}
+	}
+}
+
+// forgetAbsent drops what is known about hosts that left and organisations that
+// no longer have a policy.
+func (h *hub) forgetAbsent(l *Limiter) {
+	live := map[ident.HostID]bool{}
+	for _, p := range l.peers {
+		live[p] = true
+	}
+	for _, r := range l.remotes {
+		for _, p := range r.hosts {
+			live[p] = true
+		}
+	}
+	for org, m := range h.spare {
+		if l.orgs[org] == nil {
+			delete(h.spare, org)
+			continue
+		}
+		for host := range m {
+			if !live[host] {
+				delete(m, host)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/pkg/limits/lender.go
@@ -0,0 +1,127 @@
+package limits
+
+import (
+	"math"
+	"time"
+
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+)
+
+// lentLoan is a loan that this host has granted.
+type lentLoan struct {
+	bucket   *bucket
+	loan     Loan
+	borrower ident.HostID
+	end      time.Time // LoanTTL plus LoanMargin after the grant
+	left     float64   // capacity that has not come back
+	returned Returned
+}
+
+// lentLoans indexes the loans in the order in which they end.
+type lentLoans struct {
+	queue    []*lentLoan
+	byNumber map[uint64]*lentLoan
+	byBorrow map[ID]*lentLoan
+}
+
+func newLentLoans() lentLoans {
+	return lentLoans{byNumber: map[uint64]*lentLoan{}, byBorrow: map[ID]*lentLoan{}}
+}
+
+// inherit takes over the loans of a predecessor. They cannot be returned.
+func (ls *lentLoans) inherit(b *bucket, n float64, end time.Time) {
+	if n <= 0 {
+		return
+	}
+	b.lent += n
+	ls.queue = append(ls.queue, &lentLoan{bucket: b, end: end, left: n})
+}
+
+// expireLent takes the capacity of ended loans back, without the tokens.
+func (l *Limiter) expireLent() {
+	for len(l.lent.queue) > 0 && !l.slot.now.Before(l.lent.queue[0].end) {
+		x := l.lent.queue[0]
+		l.lent.queue[0] = nil
+		l.lent.queue = l.lent.queue[1:]
+		delete(l.lent.byNumber, x.loan.ID.Number)
+		delete(l.lent.byBorrow, x.loan.Borrow)
+		l.restore(x, x.left)
+	}
+}
+
+// restore returns lent capacity to the bucket. Tokens minted before count against
+// the smaller capacity.
+func (l *Limiter) restore(x *lentLoan, capacity float64) {
+	if capacity <= 0 {
+		return
+	}
+	l.touch(x.bucket)
+	x.left -= capacity
+	x.bucket.lent = max(0, x.bucket.lent-capacity)
+}
+
+// lend grants up to want tokens of the own share and sends them to the borrower.
+// It returns the amount. A repeated request gets the same loan again.
+func (l *Limiter) lend(m Borrow, res *Result) int64 {
+	borrower := m.ID.Process.Host
+	if old := l.lent.byBorrow[m.ID]; old != nil {
+		loan := old.loan
+		res.send(borrower, Message{Loan: &loan})
+		return loan.Tokens
+	}
+	b := l.orgs[m.Organisation]
+	if b == nil || b.policy != m.Policy || m.TTL > l.cfg.LoanTTL || m.ID.Process == l.cfg.Self {
+		return 0
+	}
+	l.touch(b)
+	n := math.Floor(min(float64(m.Want), l.lendable(b)))
+	if n < 1 || len(l.lent.queue) >= maxLoans {
+		return 0
+	}
+	b.level -= n
+	b.lent += n
+	x := &lentLoan{
+		bucket:   b,
+		borrower: borrower,
+		end:      l.slot.now.Add(l.cfg.LoanTTL + l.cfg.LoanMargin),
+		left:     n,
+		loan:     Loan{ID: l.nextID(), Borrow: m.ID, Organisation: b.name, Policy: b.policy, Tokens: int64(n)},
+	}
+	l.lent.queue = append(l.lent.queue, x)
+	l.lent.byNumber[x.loan.ID.Number] = x
+	l.lent.byBorrow[m.ID] = x
+	l.activate(b)
+	loan := x.loan
+	res.send(borrower, Message{Loan: &loan})
+	return loan.Tokens
+}
+
+// lendable returns the own tokens that no waiting reservation needs.
+func (l *Limiter) lendable(b *bucket) float64 {
+	own := l.base(b) - b.lent
+	return max(0, min(b.level-b.short, own))
+}
+
+// receiveReturn takes loans back. The amounts are cumulative; only the increase
+// over what came before counts.
+func (l *Limiter) receiveReturn(m Return, res *Result) {
+	for _, r := range m.Loans {
+		x := l.lent.byNumber[r.Number]
+		if x == nil || r.Process != l.cfg.Self.Incarnation {
+			continue
+		}
+		capacity := min(r.Capacity-x.returned.Capacity, x.left)
+		tokens := min(r.Tokens-x.returned.Tokens, capacity)
+		if capacity <= 0 {
+			continue
+		}
+		x.returned = r
+		l.restore(x, capacity)
+		b := x.bucket
+		if tokens > 0 && b.policy == x.loan.Policy {
+			b.level += tokens
+		}
+		b.cut(l.capacity(b))
+		l.serve(b, res)
+	}
+}
