--- /dev/null
+++ b/pkg/placement/claims.go
@@ -0,0 +1,53 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/reclaim"
+)
+
+// Owned adds attempts that the node owns beyond those that this Placer has asked
+// for or holds. f must be pure.
+func (p *Placer) Owned(f func(ident.BackendRef) bool) { p.owned = f }
+
+// Claims answers a query of a pool owner. Receive does the same for a message.
+func (p *Placer) Claims(now time.Time, from ident.HostID, q ClaimQuery) Result {
+	return p.Receive(now, from, Message{Query: &q})
+}
+
+func (p *Placer) onQuery(from ident.HostID, q ClaimQuery) {
+	if from != p.cfg.Self.Host {
+		p.out.Claims = append(p.out.Claims, q)
+	}
+	r := q.Answer(p.owns)
+	p.send(from, Message{Reply: &r})
+}
+
+// owns tells whether this process still wants an attempt. The request id names
+// the process, so an attempt of an earlier incarnation is never found.
+func (p *Placer) owns(ref ident.BackendRef) bool {
+	return p.asks[ref] != nil || p.holds[ref] != nil || p.owned != nil && p.owned(ref)
+}
+
+// onOrphans frees the booking of each orphan and cancels it at the engines that
+// hold memory for it.
+func (p *Placer) onOrphans(now time.Time, orphans []reclaim.Orphan) {
+	for _, o := range orphans {
+		for _, pl := range p.sortedPools() {
+			pl.queue.Remove(o.Ref)
+			if pl.remove(now, o.Ref) != nil {
+				p.dispatch(now, pl)
+			}
+		}
+		p.released.add(now, o.Ref, lastRound)
+		for _, id := range o.Engines {
+			if e, ok := p.fleet.engines[id]; ok {
+				p.out.Cancels = append(p.out.Cancels, Cancel{Backend: e, Ref: o.Ref})
+			}
+		}
+	}
+}
+
+// lastRound is above every round, for attempts that must not come back.
+const lastRound = ^uint32(0)
--- /dev/null
+++ b/pkg/placement/config.go
@@ -0,0 +1,82 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+)
+
+// Config holds the settings of a Placer.
+type Config struct {
+	Self   ident.Process
+	Domain ident.FailureDomain
+	Seed   uint64 // of the random choices; the same seed gives the same choices
+
+	// FirstTokenTarget is the time to first token of a request without a budget
+	// of its own. A longer one refuses less and meets the target less often.
+	FirstTokenTarget time.Duration
+	// Margin is kept free for the network and for errors of the prediction. A
+	// longer one refuses more requests that would have been in time.
+	Margin time.Duration
+	// OwnerTimeout is how long a client waits for a pool owner's answer. A
+	// shorter one asks the next host when the owner is only slow.
+	OwnerTimeout time.Duration
+	// OrphanGrace is how long a silent host keeps its claims on engine memory.
+	OrphanGrace time.Duration
+	// ClaimInterval is how often the owner asks hosts for their claims. A shorter
+	// one frees lost slots earlier and costs more messages.
+	ClaimInterval time.Duration
+	// PrefillAhead is how much work a prefill engine gets in advance. More keeps
+	// the engine busy over slow messages; less keeps requests in the fair queue,
+	// and decode slots free, for longer.
+	PrefillAhead time.Duration
+	// ReleasedTTL is how long the owner remembers a released request, so that a
+	// delayed Book does not book it again. It must exceed the longest delay of a
+	// message.
+	ReleasedTTL time.Duration
+	// DownTime is how long an engine is avoided after a failed connection, unless
+	// a report arrives earlier.
+	DownTime time.Duration
+	// QueueLimit bounds the queue of a pool, in requests.
+	QueueLimit int
+	// PrefixBlocks bounds the prompt blocks remembered per prefill engine.
+	PrefixBlocks int
+	// Spills is how many other domains a client asks when its own pool is full.
+	Spills int
+
+	// Costs that predictions start from; observed costs replace them gradually.
+
+	PrefillPerToken    time.Duration
+	DecodePerToken     time.Duration // of one stream in a full batch
+	LinkBytesPerSecond float64       // of one engine
+	KVBytesPerToken    float64
+	OutputTokens       int // expected length of an answer before any was seen
+}
+
+// BlockTokens is the number of prompt tokens in one block of a prefix.
+const BlockTokens = 1000
+
+// DefaultConfig returns the settings of the current scale.
+func DefaultConfig(self ident.Process, domain ident.FailureDomain) Config {
+	return Config{
+		Self:               self,
+		Domain:             domain,
+		Seed:               1,
+		FirstTokenTarget:   950 * time.Millisecond,
+		Margin:             20 * time.Millisecond,
+		OwnerTimeout:       50 * time.Millisecond,
+		OrphanGrace:        3 * time.Second,
+		ClaimInterval:      time.Second,
+		PrefillAhead:       30 * time.Millisecond,
+		ReleasedTTL:        10 * time.Second,
+		DownTime:           2 * time.Second,
+		QueueLimit:         1024,
+		PrefixBlocks:       4096,
+		Spills:             2,
+		PrefillPerToken:    25 * time.Microsecond,
+		DecodePerToken:     30 * time.Millisecond,
+		LinkBytesPerSecond: 10e9,
+		KVBytesPerToken:    100e3,
+		OutputTokens:       300,
+	}
+}
--- /dev/null
+++ b/pkg/placement/local.go
@@ -0,0 +1,72 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/mulberrystream/mulberrystream/pkg/engine"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+)
+
+// chooseLocally books without an owner: two random engines of each role, and of
+// these the one with less of this host's own work in flight. Other hosts may pick
+// the same engine; it refuses what it cannot hold.
+func (p *Placer) chooseLocally(now time.Time, a *ask) {
+	a.pool = a.tried[0]
+	engines := p.fleet.pools[a.pool]
+	for _, v := range tiers(a.req.wanted(), engines) {
+		prefill, okPrefill := p.pickLocal(now, a.req, engines, v, engine.Prefill)
+		decode, okDecode := p.pickLocal(now, a.req, engines, v, engine.Decode)
+		if okPrefill && okDecode && p.inTime(now, a) {
+			p.bookLocally(now, a, prefill, decode)
+			return
+		}
+	}
+	if a.reason == "" {
+		a.reason, a.retry = ReasonDeadline, p.cfg.ClaimInterval
+		if p.inTime(now, a) {
+			a.reason = ReasonNoEngine
+		}
+	}
+	p.giveUp(a)
+}
+
+// inTime tells whether an idle engine could still meet the target.
+func (p *Placer) inTime(now time.Time, a *ask) bool {
+	tokens := float64(a.req.PromptTokens + a.req.Offset)
+	work := time.Duration(tokens * float64(p.cfg.PrefillPerToken))
+	return a.req.Wait || !now.Add(work+p.cfg.DecodePerToken).After(a.deadline)
+}
+
+func (p *Placer) pickLocal(now time.Time, r Request, engines []engine.Info, v ident.Version, role engine.Role) (engine.Info, bool) {
+	var fit []engine.Info
+	for _, e := range engines {
+		full := e.Slots > 0 && p.inFlight[e.ID] >= e.Slots
+		if e.Role == role && e.Version == v && !full && !p.fleet.isDown(now, e.ID) && p.filter.allows(e, r.wanted()) {
+			fit = append(fit, e)
+		}
+	}
+	return p.pickTwo(fit)
+}
+
+// pickTwo draws two of the candidates and returns the one with less of this
+// host's work for its size.
+func (p *Placer) pickTwo(fit []engine.Info) (engine.Info, bool) {
+	if len(fit) == 0 {
+		return engine.Info{}, false
+	}
+	at := p.picker.two(len(fit), func(i int) float64 {
+		return float64(p.inFlight[fit[i].ID]) / float64(max(1, fit[i].Slots))
+	})
+	return fit[at], true
+}
+
+func (p *Placer) bookLocally(now time.Time, a *ask, prefill, decode engine.Info) {
+	p.dropAsk(a)
+	p.hold(now, &hold{
+		booking: Booking{Ref: a.req.Ref, Prefill: prefill, Decode: decode, Local: true},
+		req:     a.req,
+		pool:    a.pool,
+		round:   a.round,
+		at:      now,
+	})
+}
--- /dev/null
+++ b/pkg/placement/placer.go
@@ -0,0 +1,249 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/mulberrystream/mulberrystream/pkg/engine"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/reclaim"
+)
+
+// Placer books engines for the requests of one entry host, and owns pools. It is
+// not safe for concurrent use.
+type Placer struct {
+	cfg    Config
+	picker picker
+	scorer scorer
+	filter filter
+	fleet  fleet
+	now    time.Time
+
+	hosts     map[ident.HostID]HostView
+	ranks     map[Pool][]ident.HostID // cache, cleared when hosts change
+	poolOrder []Pool                  // of all domains
+	free      map[Pool]int            // of other domains
+	draining  bool
+
+	// Owner side.
+	pools    map[Pool]*pool
+	released released
+	tracker  *reclaim.Tracker
+
+	// Client side.
+	asks     map[ident.BackendRef]*ask
+	holds    map[ident.BackendRef]*hold
+	calls    map[ident.BackendRef]ident.BackendID // plain services
+	inFlight map[ident.BackendID]int              // this host's work
+	owned    func(ident.BackendRef) bool
+
+	inbox []Message // to this host itself, handled before a call returns
+	out   Result
+}
+
+// New returns a Placer that knows no host but itself and no engine.
+func New(cfg Config, now time.Time) *Placer {
+	p := &Placer{
+		cfg:      cfg,
+		picker:   newPicker(cfg.Seed),
+		fleet:    newFleet(),
+		now:      now,
+		hosts:    map[ident.HostID]HostView{},
+		ranks:    map[Pool][]ident.HostID{},
+		free:     map[Pool]int{},
+		pools:    map[Pool]*pool{},
+		released: newReleased(cfg.ReleasedTTL),
+		asks:     map[ident.BackendRef]*ask{},
+		holds:    map[ident.BackendRef]*hold{},
+		calls:    map[ident.BackendRef]ident.BackendID{},
+		inFlight: map[ident.BackendID]int{},
+	}
+	p.scorer = scorer{cfg: &p.cfg}
+	p.tracker = newTracker(cfg)
+	return p
+}
+
+func newTracker(cfg Config) *reclaim.Tracker {
+	return reclaim.New(reclaim.Config{ClaimInterval: cfg.ClaimInterval, OrphanGrace: cfg.OrphanGrace})
+}
+
+// begin starts a call that returns a Result.
+func (p *Placer) begin(now time.Time) {
+	p.now = now
+	p.out = Result{}
+}
+
+// finish handles the messages of this host to itself and returns the Result.
+func (p *Placer) finish(now time.Time) Result {
+	for len(p.inbox) > 0 {
+		m := p.inbox[0]
+		p.inbox = p.inbox[1:]
+		p.handle(now, p.cfg.Self.Host, m)
+	}
+	out := p.out
+	p.out = Result{}
+	return out
+}
+
+// send queues a message; one to this host itself is handled by finish.
+func (p *Placer) send(to ident.HostID, m Message) {
+	if to == p.cfg.Self.Host {
+		p.inbox = append(p.inbox, m)
+		return
+	}
+	p.out.Envelopes = append(p.out.Envelopes, Envelope{To: to, Message: m})
+}
+
+// Receive handles a message of another host.
+func (p *Placer) Receive(now time.Time, from ident.HostID, m Message) Result {
+	p.begin(now)
+	p.handle(now, from, m)
+	return p.finish(now)
+}
+
+func (p *Placer) handle(now time.Time, from ident.HostID, m Message) {
+	switch {
+	case m.Book != nil:
+		b := *m.Book
+		p.onBook(now, &b)
+	case m.Queued != nil:
+		p.onQueued(now, from, m.Queued)
+	case m.Booked != nil:
+		p.onBooked(now, from, m.Booked)
+	case m.Refused != nil:
+		p.onRefused(now, from, m.Refused)
+	case m.Prefill != nil:
+		p.onPrefilled(now, m.Prefill)
+	case m.Release != nil:
+		p.onRelease(now, m.Release)
+	case m.Query != nil:
+		p.onQuery(from, *m.Query)
+	case m.Reply != nil:
+		p.onOrphans(now, p.tracker.Receive(now, from, *m.Reply))
+	case m.Handover != nil:
+		p.onHandover(now, m.Handover)
+	}
+}
+
+// Tick advances timers. It must be called at least a few times per OwnerTimeout.
+func (p *Placer) Tick(now time.Time) Result {
+	p.begin(now)
+	p.tickAsks(now)
+	for _, pl := range p.sortedPools() {
+		p.tickPool(now, pl)
+	}
+	p.released.expire(now)
+	queries, orphans := p.tracker.Tick(now)
+	for _, q := range queries {
+		p.send(q.Process.Host, Message{Query: &q})
+	}
+	p.onOrphans(now, orphans)
+	return p.finish(now)
+}
+
+func (p *Placer) tickPool(now time.Time, pl *pool) {
+	for _, e := range pl.order {
+		e.expireJobs(now)
+	}
+	p.sweep(now, pl)
+	p.dispatch(now, pl)
+	if p.ownerOf(pl.key) != p.cfg.Self.Host && !now.Before(pl.actingUntil) {
+		p.handOver(now, pl)
+	}
+}
+
+// SetFree takes the free capacity that other domains have published.
+func (p *Placer) SetFree(now time.Time, pools []PoolFree) {
+	p.now = now
+	clear(p.free)
+	for _, f := range pools {
+		if f.Domain != p.cfg.Domain {
+			p.free[Pool{Model: f.Model, Domain: f.Domain}] = f.Free
+		}
+	}
+}
+
+// SetEngines takes the platform's list of backend servers.
+func (p *Placer) SetEngines(now time.Time, engines []engine.Info) Result {
+	p.begin(now)
+	p.fleet.set(engines)
+	p.poolOrder = sortedKeys(p.fleet.pools, comparePools)
+	for _, pl := range p.sortedPools() {
+		for _, id := range pl.sync(&p.cfg, p.fleet.pools[pl.key]) {
+			p.tracker.Forget(id)
+		}
+	}
+	p.adoptPools(now)
+	for _, pl := range p.sortedPools() {
+		p.recheckQueue(now, pl)
+		p.dispatch(now, pl)
+	}
+	return p.finish(now)
+}
+
+// SetHosts takes the membership view.
+func (p *Placer) SetHosts(now time.Time, hosts []HostView) Result {
+	p.begin(now)
+	p.hosts = make(map[ident.HostID]HostView, len(hosts))
+	known := make(map[ident.HostID]reclaim.Host, len(hosts))
+	for _, h := range hosts {
+		p.hosts[h.Process.Host] = h
+		known[h.Process.Host] = reclaim.Host{Incarnation: h.Process.Incarnation, Live: h.Live}
+	}
+	known[p.cfg.Self.Host] = reclaim.Host{Incarnation: p.cfg.Self.Incarnation, Live: true}
+	p.tracker.SetHosts(known)
+	clear(p.ranks)
+	p.movePools(now)
+	p.moveRequests(now)
+	return p.finish(now)
+}
+
+// rank returns the live hosts of a pool's domain, the owner first.
+func (p *Placer) rank(key Pool) []ident.HostID {
+	if r, ok := p.ranks[key]; ok {
+		return r
+	}
+	var live []ident.HostID
+	for id, h := range p.hosts {
+		if h.Live && h.Domain == key.Domain && id != p.cfg.Self.Host {
+			live = append(live, id)
+		}
+	}
+	if key.Domain == p.cfg.Domain && !p.draining {
+		live = append(live, p.cfg.Self.Host)
+	}
+	slices.Sort(live)
+	r := ident.Rank("pool/"+string(key.Model)+"/"+string(key.Domain), live)
+	p.ranks[key] = r
+	return r
+}
+
+// ownerOf returns the owner of a pool, or "" when no live host is known.
+func (p *Placer) ownerOf(key Pool) ident.HostID {
+	if r := p.rank(key); len(r) > 0 {
+		return r[0]
+	}
+	return ""
+}
+
+// process returns the process that runs as a host, as far as membership knows.
+func (p *Placer) process(id ident.HostID) ident.Process {
+	if h, ok := p.hosts[id]; ok {
+		return h.Process
+	}
+	if id == p.cfg.Self.Host {
+		return p.cfg.Self
+	}
+	return ident.Process{Host: id}
+}
+
+func (p *Placer) sortedPools() []*pool {
+	out := make([]*pool, 0, len(p.pools))
+	for _, key := range sortedKeys(p.pools, comparePools) {
+		out = append(out, p.pools[key])
+	}
+	return out
+}
+
+func compareHosts(a, b ident.HostID) int { return cmp.Compare(a, b) }
--- /dev/null
+++ b/pkg/placement/recall.go
@@ -0,0 +1,86 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/mulberrystream/mulberrystream/pkg/engine"
+	"github.com/mulberrystream/mulberrystream/pkg/fairqueue"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+)
+
+// SetRecall puts a recall into force. Queued work goes to an engine outside of the
+// batch when one is allowed, and is refused otherwise. A booking on the batch ends
+// with a Refusal that has Booked set, and both engines are told to cancel it.
+func (p *Placer) SetRecall(now time.Time, r Recall) Result {
+	p.begin(now)
+	p.filter = filter{recall: r}
+	for _, pl := range p.sortedPools() {
+		p.recheckQueue(now, pl)
+		p.revokeBookings(now, pl)
+		p.dispatch(now, pl)
+	}
+	p.recallHolds(now)
+	p.recallAsks()
+	return p.finish(now)
+}
+
+// recheckQueue refuses queued requests that no engine may take any more.
+func (p *Placer) recheckQueue(now time.Time, pl *pool) {
+	var ended []ident.BackendRef
+	infos := pl.infos()
+	pl.queue.Each(func(it fairqueue.Item[ident.BackendRef, *ticket]) {
+		if p.filter.check(infos, it.Value.wanted()) != "" {
+			ended = append(ended, it.Key)
+		}
+	})
+	for _, ref := range ended {
+		it, _ := pl.queue.Remove(ref)
+		p.refuse(&it.Value.book, p.filter.check(infos, it.Value.wanted()), p.cfg.DownTime)
+	}
+}
+
+// revokeBookings ends the bookings on recalled engines.
+func (p *Placer) revokeBookings(now time.Time, pl *pool) {
+	for _, ref := range sortedKeys(pl.bookings, compareRefs) {
+		b := pl.bookings[ref]
+		if !p.onRecalled(b.prefill) && !p.onRecalled(b.decode) {
+			continue
+		}
+		pl.remove(now, ref)
+		p.released.add(now, ref, b.round)
+		p.tracker.Release(now, ref)
+		p.send(b.origin.Host, Message{Refused: &Refused{
+			Ref:    ref,
+			Round:  b.round,
+			Reason: ReasonRecalled,
+			Booked: true,
+		}})
+	}
+}
+
+func (p *Placer) onRecalled(e *engineState) bool {
+	return e != nil && p.filter.recalled(e.info)
+}
+
+// recallHolds ends this host's own bookings on the batch. It does not rely on the
+// owner, which may be partitioned from the configuration.
+func (p *Placer) recallHolds(now time.Time) {
+	for _, ref := range sortedKeys(p.holds, compareRefs) {
+		h := p.holds[ref]
+		recalled := func(e engine.Info) bool { return p.filter.recalled(e) }
+		if p.filter.adapterRecalled(h.req.Adapter) || recalled(h.booking.Prefill) || recalled(h.booking.Decode) {
+			p.voidHold(now, h, ReasonRecalled, minRetryAfter)
+		}
+	}
+}
+
+// recallAsks refuses this host's undecided requests that no pool may take.
+func (p *Placer) recallAsks() {
+	for _, ref := range sortedKeys(p.asks, compareRefs) {
+		a := p.asks[ref]
+		if _, ok := p.homePool(a.req); !ok {
+			a.reason, a.retry = p.whyNone(a.req), p.cfg.DownTime
+			p.giveUp(a)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/placement/report.go
@@ -0,0 +1,129 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/mulberrystream/mulberrystream/pkg/engine"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+)
+
+// strayAge is how long after its release a request may still appear in reports
+// before it counts as held. Reports lag.
+const strayAge = 300 * time.Millisecond
+
+// hintPause is how long a report protects an engine from hints of other hosts, so
+// that one host with a broken network cannot take engines out of use.
+const hintPause = 2 * time.Second
+
+// engineOf returns the owner's state of an engine.
+func (p *Placer) engineOf(id ident.BackendID) (*pool, *engineState) {
+	info, ok := p.fleet.engines[id]
+	if !ok {
+		return nil, nil
+	}
+	pl, ok := p.pools[poolOf(info)]
+	if !ok {
+		return nil, nil
+	}
+	return pl, pl.engines[id]
+}
+
+// Report takes an engine's report. It corrects the owner's books and does not
+// erase bookings that are newer.
+func (p *Placer) Report(now time.Time, r engine.Report) Result {
+	p.begin(now)
+	pl, e := p.engineOf(r.ID)
+	if e != nil && !e.stale(r) {
+		delete(p.fleet.down, r.ID)
+		if e.suspect {
+			e.suspectAfter = now.Add(hintPause)
+		}
+		restarted := e.apply(r)
+		p.tracker.Observe(now, r.ID, r.Held)
+		if e.info.Role == engine.Decode {
+			p.reconcile(now, pl, e, r, restarted)
+		}
+		p.recheckQueue(now, pl)
+		p.dispatch(now, pl)
+	}
+	return p.finish(now)
+}
+
+// reconcile compares the booked slots with the requests that the engine holds.
+func (p *Placer) reconcile(now time.Time, pl *pool, e *engineState, r engine.Report, restarted bool) {
+	held := make(map[ident.BackendRef]bool, len(r.Held))
+	e.strays = max(0, r.Running+r.Queued-len(r.Held))
+	for _, h := range r.Held {
+		held[h.Ref] = true
+		p.observeHeld(now, pl, e, h)
+	}
+	for _, ref := range sortedKeys(e.slots, compareRefs) {
+		b := e.slots[ref]
+		if b.seen && !held[ref] {
+			// The request has ended or was lost with the engine's process.
+			pl.remove(now, ref)
+			p.released.add(now, ref, b.round)
+			p.tracker.Release(now, ref)
+		}
+	}
+}
+
+// observeHeld matches one held request with its booking. A request without one
+// was booked by an earlier owner or chosen locally; it takes a slot.
+func (p *Placer) observeHeld(now time.Time, pl *pool, e *engineState, h engine.HeldRequest) {
+	if b, ok := pl.bookings[h.Ref]; ok {
+		if b.decode != e {
+			if b.decode != nil {
+				delete(b.decode.slots, h.Ref)
+			}
+			b.decode = e
+			e.slots[h.Ref] = b
+		}
+		b.seen = true
+		return
+	}
+	if age, ok := p.released.since(now, h.Ref); ok {
+		if age > strayAge {
+			e.strays++
+		}
+		return
+	}
+	origin, _ := h.Ref.Request.Owner()
+	pl.insert(now, &booking{
+		ref:       h.Ref,
+		origin:    origin,
+		decode:    e,
+		at:        now.Add(-h.Age),
+		prefilled: now,
+		seen:      true,
+	})
+}
+
+// Unreachable takes an engine out of use until its next report, or for a while
+// when this host does not read its reports.
+func (p *Placer) Unreachable(now time.Time, id ident.BackendID) Result {
+	p.begin(now)
+	p.fleet.down[id] = now.Add(p.cfg.DownTime)
+	if pl, e := p.engineOf(id); e != nil {
+		p.dispatch(now, pl)
+	}
+	return p.finish(now)
+}
+
+// suspectExcluded takes the engines that failed for another host out of use until
+// their next report.
+func (p *Placer) suspectExcluded(now time.Time, pl *pool, ids []ident.BackendID) {
+	for _, id := range ids {
+		if e := pl.engines[id]; e != nil && e.reported && !now.Before(e.suspectAfter) {
+			e.suspect = true
+		}
+	}
+}
+
+// Events takes cache events of a prefill engine.
+func (p *Placer) Events(now time.Time, id ident.BackendID, evs []engine.CacheEvent) {
+	p.now = now
+	if _, e := p.engineOf(id); e != nil {
+		e.cache.apply(evs)
+	}
+}
