--- a/pkg/keyring/keyring_test.go
+++ b/pkg/keyring/keyring_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/hex"
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 
@@ -67,6 +68,25 @@
 	})
 })
 
+// TestExampleKeys guards against example keys whose documented secret is wrong.
+func TestExampleKeys(t *testing.T) {
+	for _, file := range []string{"bagmati", "adwenpa"} {
+		text, err := os.ReadFile("../../examples/" + file + ".rules")
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := ruleset.Parse(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, k := range r.Keys() {
+			if _, err := keyring.Verify(r, string(k.ID)+".demo-secret-"+string(k.ID)); err != nil {
+				t.Errorf("%s: key %s: %v", file, k.ID, err)
+			}
+		}
+	}
+}
+
 // FuzzSplit guards against a presented key that makes the host panic or whose
 // parts differ from what the caller sent.
 func FuzzSplit(f *testing.F) {
--- a/pkg/ruleset/describe.go
+++ b/pkg/ruleset/describe.go
@@ -1,6 +1,9 @@
 package ruleset
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // describe says in words what a change means for those whom it concerns.
 func describe(kind ChangeKind, before, after rule) string {
@@ -10,7 +13,8 @@
 	case Removed:
 		return lost(before)
 	case Commented:
-		return fmt.Sprintf("%s %s: comment is now %q, was %q", after.kind(), after.name(),
+		subject := strings.TrimSpace(string(after.kind()) + " " + after.name())
+		return fmt.Sprintf("%s: comment is now %q, was %q", subject,
 			after.origin().Comment, before.origin().Comment)
 	default:
 		return changed(before, after)
--- a/pkg/ruleset/line.go
+++ b/pkg/ruleset/line.go
@@ -15,7 +15,8 @@
 	maxName  = 64 // characters of a name
 	maxQuote = 40 // characters of the rules text that an error repeats
 
-	nameForm = "1 to 64 letters, digits, '.', '_' or '-', starting with a letter or digit"
+	// NameForm describes a valid name.
+	NameForm = "1 to 64 letters, digits, '.', '_' or '-', starting with a letter or digit"
 
 	// KeyIDForm describes a valid key id. The dot ends the id in a presented key.
 	KeyIDForm = "1 to 64 letters, digits, '_' or '-', starting with a letter or digit"
@@ -88,8 +89,8 @@
 // name returns a name, or an empty word when there is none or it is malformed.
 func (l *line) name(what string) word {
 	w, ok := l.next(what)
-	if ok && !validName(w.text, "._-") {
-		l.fail(w.column, "use "+nameForm, "%s %s is malformed", what, quote(w.text))
+	if ok && !ValidName(w.text) {
+		l.fail(w.column, "use "+NameForm, "%s %s is malformed", what, quote(w.text))
 		return word{}
 	}
 	return w
@@ -162,6 +163,10 @@
 	return !l.invalid
 }
 
+// ValidName reports whether s is a valid name of an organisation, a model or any
+// other subject of a rule but a key.
+func ValidName(s string) bool { return validName(s, "._-") }
+
 // ValidKeyID reports whether s has the form that KeyIDForm describes.
 func ValidKeyID(s string) bool { return validName(s, "_-") }
 
--- a/pkg/ruleset/parse.go
+++ b/pkg/ruleset/parse.go
@@ -192,8 +192,8 @@
 	column := list.column
 	for v := range strings.SplitSeq(list.text, ",") {
 		switch {
-		case !validName(v, "._-"):
-			l.fail(column, "use "+nameForm+", with commas and no spaces between versions",
+		case !ValidName(v):
+			l.fail(column, "use "+NameForm+", with commas and no spaces between versions",
 				"version %s is malformed", quote(v))
 		case slices.Contains(out, ident.Version(v)):
 			l.fail(column, "list each version once", "version %s is listed twice", quote(v))
