--- /dev/null
+++ b/pkg/operator/operator.go
@@ -0,0 +1,115 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/alexflint/go-arg"
+)
+
+// Exit codes of Run.
+const (
+	OK       = 0
+	Problems = 1 // the command ran and found problems
+	Usage    = 2 // the command line is wrong
+)
+
+// Env is what a command uses of its surroundings.
+type Env struct {
+	Stdout io.Writer
+	Stderr io.Writer
+	Rand   io.Reader // source of key secrets
+}
+
+type arguments struct {
+	Check   *checkCommand   `arg:"subcommand:check" help:"report all errors of a rules file"`
+	Diff    *diffCommand    `arg:"subcommand:diff" help:"say who gains or loses what between two rules files"`
+	Explain *explainCommand `arg:"subcommand:explain" help:"say which rule decides for an organisation and a model"`
+	Key     *keyCommand     `arg:"subcommand:key" help:"make caller keys"`
+	Split   *splitCommand   `arg:"subcommand:split" help:"cut a rules file into values for the configuration service"`
+	Status  *statusCommand  `arg:"subcommand:status" help:"show the state of entry hosts"`
+	Top     *topCommand     `arg:"subcommand:top" help:"show the load of entry hosts repeatedly"`
+
+	JSON bool `arg:"--json" help:"print JSON instead of text"`
+}
+
+func (arguments) Description() string {
+	return "mulberryctl checks and publishes rules and reports on entry hosts.\n" +
+		"Exit codes: 0 ok, 1 problems found, 2 wrong command line."
+}
+
+// command is one subcommand. Its error is a problem that ended it.
+type command interface {
+	run(ctx context.Context, s *session) error
+}
+
+// session is one run of a command.
+type session struct {
+	Env
+	json     bool
+	problems bool // found and already printed
+}
+
+// usageError is an error of the command line that go-arg cannot find.
+type usageError struct{ error }
+
+// Run executes a command line, without the program name, and returns the exit
+// code.
+func Run(ctx context.Context, args []string, env Env) int {
+	var a arguments
+	parser, err := arg.NewParser(arg.Config{Program: "mulberryctl"}, &a)
+	if err != nil {
+		return fail(env, err)
+	}
+	switch err := parser.Parse(args); {
+	case errors.Is(err, arg.ErrHelp):
+		_ = parser.WriteHelpForSubcommand(env.Stdout, parser.SubcommandNames()...)
+		return OK
+	case err != nil:
+		_ = parser.WriteUsageForSubcommand(env.Stderr, parser.SubcommandNames()...)
+		return fail(env, usageError{err})
+	}
+	c, ok := parser.Subcommand().(command)
+	if !ok {
+		_ = parser.WriteHelpForSubcommand(env.Stderr, parser.SubcommandNames()...)
+		return Usage
+	}
+	s := &session{Env: env, json: a.JSON}
+	if err := c.run(ctx, s); err != nil {
+		return fail(env, err)
+	}
+	if s.problems {
+		return Problems
+	}
+	return OK
+}
+
+func fail(env Env, err error) int {
+	fmt.Fprintf(env.Stderr, "mulberryctl: %v\n", err)
+	if errors.As(err, new(usageError)) {
+		return Usage
+	}
+	return Problems
+}
+
+// print writes v as JSON, or text.
+func (s *session) print(v any, text string) error {
+	if !s.json {
+		_, err := io.WriteString(s.Stdout, text)
+		return err
+	}
+	e := json.NewEncoder(s.Stdout)
+	e.SetEscapeHTML(false)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// hosts are the options of commands that read from entry hosts.
+type hosts struct {
+	Hosts   []string      `arg:"positional,required" placeholder:"HOST" help:"entry hosts as ADDRESS:PORT"`
+	Timeout time.Duration `arg:"--timeout" default:"2s" help:"longest wait for the answer of a host, such as 500ms or 2s"`
+}
