Add the SLO burn report

Cause: operators need to see per organisation and model how well the latency targets are met and how fast the error budget goes.

--- a/pkg/operator/fetch.go
+++ b/pkg/operator/fetch.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -29,6 +30,14 @@
 // fetchAll reads the JSON at path from each host and returns the answers in the
 // order of the hosts.
 func fetchAll[T any](ctx context.Context, h hosts, path string) []answer[T] {
+	out := make([]answer[T], len(h.Hosts))
+	fetchEach(ctx, h, path, func(i int, a answer[T]) { out[i] = a })
+	return out
+}
+
+// fetchEach reads the JSON at path from each host and calls use with the index
+// of the host, one call at a time, in the order in which the answers come.
+func fetchEach[T any](ctx context.Context, h hosts, path string, use func(int, answer[T])) {
 	client := &fasthttp.Client{
 		Name:                "mulberryctl",
 		MaxResponseBodySize: maxAnswer,
@@ -37,18 +46,19 @@
 		},
 	}
 	defer client.CloseIdleConnections()
-	out := make([]answer[T], len(h.Hosts))
+	var mutex sync.Mutex
 	var group errgroup.Group
 	group.SetLimit(maxParallel)
 	for i, host := range h.Hosts {
 		group.Go(func() error {
 			value, err := fetch[T](ctx, client, host, path, h.Timeout)
-			out[i] = answer[T]{host, value, err}
+			mutex.Lock()
+			defer mutex.Unlock()
+			use(i, answer[T]{host, value, err})
 			return nil
 		})
 	}
 	_ = group.Wait()
-	return out
 }
 
 func fetch[T any](ctx context.Context, c *fasthttp.Client, host, path string, timeout time.Duration) (T, error) {
@@ -60,13 +70,18 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + host + path)
+	req.Header.Set(fasthttp.HeaderAcceptEncoding, "gzip")
 	if err := c.DoTimeout(req, resp, timeout); err != nil {
 		return value, fmt.Errorf("get %s: %w", path, err)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return value, fmt.Errorf("get %s: status %d", path, resp.StatusCode())
 	}
-	if err := json.Unmarshal(resp.Body(), &value); err != nil {
+	body, err := resp.BodyUncompressedWithLimit(maxAnswer)
+	if err != nil {
+		return value, fmt.Errorf("get %s: uncompress answer: %w", path, err)
+	}
+	if err := json.Unmarshal(body, &value); err != nil {
 		return value, fmt.Errorf("get %s: decode answer: %w", path, err)
 	}
 	return value, nil
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -33,6 +33,7 @@
 	Split   *splitCommand   `arg:"subcommand:split" help:"cut a rules file into values for the configuration service"`
 	Status  *statusCommand  `arg:"subcommand:status" help:"show the state of entry hosts"`
 	Top     *topCommand     `arg:"subcommand:top" help:"show the load of entry hosts repeatedly"`
+	Burn    *burnCommand    `arg:"subcommand:burn" help:"show how fast the error budgets of the latency targets are used up"`
 
 	JSON bool `arg:"--json" help:"print JSON instead of text"`
 }
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -19,6 +20,7 @@
 	"github.com/mulberrystream/mulberrystream/pkg/keyring"
 	"github.com/mulberrystream/mulberrystream/pkg/operator"
 	"github.com/mulberrystream/mulberrystream/pkg/ruleset"
+	"github.com/mulberrystream/mulberrystream/pkg/slo"
 	"github.com/mulberrystream/mulberrystream/pkg/status"
 )
 
@@ -53,13 +55,14 @@
 func serve(path string, body func() any) string {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	ExpectWithOffset(1, err).NotTo(HaveOccurred())
-	server := &fasthttp.Server{Handler: func(c *fasthttp.RequestCtx) {
+	server := &fasthttp.Server{Handler: fasthttp.CompressHandler(func(c *fasthttp.RequestCtx) {
 		if string(c.Path()) != path {
 			c.SetStatusCode(fasthttp.StatusNotFound)
 			return
 		}
+		c.SetContentType("application/json")
 		_ = json.NewEncoder(c).Encode(body())
-	}}
+	})}
 	go func() { _ = server.Serve(listener) }()
 	DeferCleanup(server.Shutdown)
 	return listener.Addr().String()
@@ -270,3 +273,43 @@
 		Expect(stdout).To(ContainSubstring("unreachable"))
 	})
 })
+
+var _ = Describe("burn", func() {
+	report := func(late int) slo.Report {
+		t := slo.New(slo.Config{})
+		now := time.Unix(1_800_000_000, 0)
+		for i := range 100 {
+			o := slo.Observation{Organisation: "himal-towers", Model: "inspect-lm", Outcome: slo.Completed}
+			if i < late {
+				o.FirstToken = time.Second
+			}
+			t.Observe(now, o)
+		}
+		return t.Report(now)
+	}
+
+	It("adds up the hosts and fails when a budget is used up or a host is missing", func() {
+		good := serve(slo.Path, func() any { return report(1) })
+		bad := serve(slo.Path, func() any { return report(19) })
+		code, stdout, _ := run("burn", good)
+		Expect(code).To(Equal(operator.OK), stdout)
+		code, stdout, _ = run("burn", good, bad, "127.0.0.1:1")
+		Expect(code).To(Equal(operator.Problems))
+		Expect(stdout).To(HavePrefix("2 hosts"))
+		Expect(stdout).To(MatchRegexp(`himal-towers +inspect-lm +3d +200 .* 90.00% +2.00`))
+		Expect(stdout).To(ContainSubstring("problem: 127.0.0.1:1 is left out"))
+		Expect(stdout).To(ContainSubstring("problem: himal-towers inspect-lm has used up its error budget"))
+	})
+
+	It("writes a plot and JSON", func() {
+		good := serve(slo.Path, func() any { return report(1) })
+		file := filepath.Join(GinkgoT().TempDir(), "burn.svg")
+		code, _, _ := run("burn", good, "--svg", file)
+		Expect(code).To(Equal(operator.OK))
+		Expect(read(file)).To(HavePrefix("<svg"))
+		_, stdout, _ := run("burn", good, "--json")
+		var got struct{ Report slo.Report }
+		Expect(json.Unmarshal([]byte(stdout), &got)).To(Succeed())
+		Expect(got.Report.Total[0].Requests).To(BeEquivalentTo(100))
+	})
+})
