Add platform client and stand-ins of engines, services and platform

Cause: an end-to-end run needs something to talk to, and the tests need backend servers whose answers can be verified and whose faults can be switched. Change: pkg/platform reads generations and host lists; internal/fake has engines, plain services, the platform and whole deployments; cmd/mulberryfake runs one with an admin interface; docs/engines.md defines tokens, blocks, the meaning of max_tokens after a resume and what happens to abandoned work.

--- /dev/null
+++ b/pkg/platform/hosts.go
@@ -0,0 +1,22 @@
+package platform
+
+import (
+	"github.com/mulberrystream/mulberrystream/pkg/engine"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+)
+
+// EntryHost is an entry host as the platform lists it.
+type EntryHost struct {
+	ID      ident.HostID        `json:"id"`
+	Addr    string              `json:"addr"`
+	Domain  ident.FailureDomain `json:"domain"`
+	Slot    ident.Slot          `json:"slot"`
+	Leaving bool                `json:"leaving"`
+}
+
+// HostList is the platform's list of live and leaving hosts. It lags behind.
+type HostList struct {
+	Version    uint64        `json:"version"`
+	EntryHosts []EntryHost   `json:"entry_hosts"`
+	Backends   []engine.Info `json:"backends"`
+}
