--- a/pkg/ruleset/line.go
+++ b/pkg/ruleset/line.go
@@ -64,8 +64,12 @@
 }
 
 func (l *line) keyword(want string) {
+	if !l.broken && len(l.words) > 0 && l.words[0].text == want {
+		l.words = l.words[1:]
+		return
+	}
 	w, ok := l.next("`" + want + "`")
-	if ok && w.text != want {
+	if ok {
 		l.broken = true
 		l.fail(w.column, "write `"+l.form+"`", "%s where `%s` is expected", quote(w.text), want)
 	}
@@ -73,17 +77,17 @@
 
 // choice returns one of the options.
 func (l *line) choice(options ...string) string {
+	if !l.broken && len(l.words) > 0 && slices.Contains(options, l.words[0].text) {
+		w, _ := l.next("")
+		return w.text
+	}
 	list := strings.Join(options, "` or `")
 	w, ok := l.next("`" + list + "`")
-	if !ok {
-		return ""
-	}
-	if !slices.Contains(options, w.text) {
+	if ok {
 		l.broken = true
 		l.fail(w.column, "write `"+list+"`", "%s where `%s` is expected", quote(w.text), list)
-		return ""
 	}
-	return w.text
+	return ""
 }
 
 // name returns a name, or an empty word when there is none or it is malformed.
@@ -185,9 +189,9 @@
 	return true
 }
 
-// splitWords returns the words of s with their columns, counted in characters.
-func splitWords(s string) []word {
-	var out []word
+// splitWords appends the words of s to out with their columns, counted in
+// characters.
+func splitWords(s string, out []word) []word {
 	start, column := -1, 0
 	for i, c := range s {
 		column++
@@ -210,6 +214,9 @@
 // badCharacter returns the column of the first character of s that is not valid
 // UTF-8 or is a control character other than a tab, or 0.
 func badCharacter(s string) int {
+	if plain(s) {
+		return 0
+	}
 	column := 0
 	for i, c := range s {
 		column++
@@ -225,6 +232,17 @@
 	return 0
 }
 
+// plain reports whether s has only printable ASCII characters, which most lines
+// do.
+func plain(s string) bool {
+	for i := range len(s) {
+		if s[i] < ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
 // quote returns s as a short quoted string on one line.
 func quote(s string) string {
 	r := []rune(s)
--- a/pkg/ruleset/parse.go
+++ b/pkg/ruleset/parse.go
@@ -45,6 +45,7 @@
 	check  *checker
 	header string
 	above  []string // comment-only lines since the last rule
+	words  []word   // buffer for the words of one line
 }
 
 // Parse reads a rules text. Its error is of type Errors and has every fault that
@@ -100,7 +101,8 @@
 	code, comment, _ := strings.Cut(s, "#")
 	comment = strings.TrimSpace(comment)
 	code = strings.TrimRight(code, " \t")
-	l := &line{number: number, words: splitWords(code), end: utf8.RuneCountInString(code) + 1}
+	p.words = splitWords(code, p.words[:0])
+	l := &line{number: number, words: p.words, end: utf8.RuneCountInString(code) + 1}
 	o := Origin{Line: number, Comment: comment, above: strings.Join(p.above, "\n")}
 	p.above = nil
 	parsed := p.statement(l, o)
--- a/pkg/ruleset/rules.go
+++ b/pkg/ruleset/rules.go
@@ -53,24 +53,52 @@
 }
 
 func newRules(parsed []rule) *Rules {
+	counts := map[Kind]int{}
+	for _, p := range parsed {
+		counts[p.kind()]++
+	}
 	r := &Rules{
-		rules:         parsed,
-		domains:       map[ident.FailureDomain]Domain{},
-		organisations: map[ident.Organisation]Organisation{},
-		models:        map[ident.Model]Model{},
-		routes:        map[ident.Route]Route{},
-		allows:        map[grant]Allow{},
-		keys:          map[ident.KeyID]Key{},
-		fencing:       map[string]Fencing{},
-		recalls:       map[batch]Recall{},
-	}
-	slices.SortFunc(r.rules, compareRules)
+		rules:         canonicalOrder(parsed),
+		domains:       make(map[ident.FailureDomain]Domain, counts[KindDomain]),
+		organisations: make(map[ident.Organisation]Organisation, counts[KindOrganisation]),
+		models:        make(map[ident.Model]Model, counts[KindModel]),
+		routes:        make(map[ident.Route]Route, counts[KindRoute]),
+		allows:        make(map[grant]Allow, counts[KindAllow]),
+		keys:          make(map[ident.KeyID]Key, counts[KindKey]),
+		fencing:       make(map[string]Fencing, counts[KindFencing]),
+		recalls:       make(map[batch]Recall, counts[KindRecall]),
+	}
 	for _, p := range r.rules {
 		r.add(p)
 	}
 	return r
 }
 
+// canonicalOrder returns the rules by kind and name. It computes both once per
+// rule, since the sort of thousands of keys would otherwise dominate Parse.
+func canonicalOrder(parsed []rule) []rule {
+	type keyed struct {
+		rank int
+		name string
+		rule rule
+	}
+	sorted := make([]keyed, len(parsed))
+	for i, p := range parsed {
+		sorted[i] = keyed{slices.Index(kindOrder, p.kind()), p.name(), p}
+	}
+	slices.SortFunc(sorted, func(a, b keyed) int {
+		if a.rank != b.rank {
+			return a.rank - b.rank
+		}
+		return strings.Compare(a.name, b.name)
+	})
+	out := make([]rule, len(sorted))
+	for i, k := range sorted {
+		out[i] = k.rule
+	}
+	return out
+}
+
 func (r *Rules) add(p rule) {
 	switch p := p.(type) {
 	case Domain:
