--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/alexflint/go-arg"
+
+	"github.com/mulberrystream/mulberrystream/pkg/ruleset"
 )
 
 // Exit codes of Run.
@@ -81,6 +83,9 @@
 	}
 	s := &session{Env: env, json: a.JSON}
 	if err := c.run(ctx, s); err != nil {
+		if s.json {
+			_ = s.print(newFailure(err), "")
+		}
 		return fail(env, err)
 	}
 	if s.problems {
@@ -89,6 +94,22 @@
 	return OK
 }
 
+// failure is what --json prints when a command ends with an error.
+type failure struct {
+	Error  string         `json:"error"`
+	File   string         `json:"file,omitempty"`
+	Errors ruleset.Errors `json:"errors,omitempty"`
+}
+
+func newFailure(err error) failure {
+	f := failure{Error: err.Error()}
+	var faulty fileError
+	if errors.As(err, &faulty) {
+		f = failure{Error: "the rules file has errors", File: faulty.file, Errors: faulty.errs}
+	}
+	return f
+}
+
 func fail(env Env, err error) int {
 	fmt.Fprintf(env.Stderr, "mulberryctl: %v\n", err)
 	if errors.As(err, new(usageError)) {
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -125,6 +125,18 @@
 		Expect(stderr).To(ContainSubstring("bad.rules:1:1: "))
 	})
 
+	It("prints the faults of a file as JSON when asked for JSON", func() {
+		code, stdout, _ := run("diff", example, write("bad.rules", ""), "--json")
+		Expect(code).To(Equal(operator.Problems))
+		var f struct {
+			File   string
+			Errors ruleset.Errors
+		}
+		Expect(json.Unmarshal([]byte(stdout), &f)).To(Succeed())
+		Expect(f.File).To(HaveSuffix("bad.rules"))
+		Expect(f.Errors).To(HaveLen(1))
+	})
+
 	It("names the deciding rule", func() {
 		code, stdout, _ := run("explain", example, "himal-towers", "inspect-lm", "--json")
 		Expect(code).To(Equal(operator.OK))
--- a/pkg/operator/rules.go
+++ b/pkg/operator/rules.go
@@ -48,6 +48,17 @@
 	return b.String()
 }
 
+// fileError has every fault of a rules file.
+type fileError struct {
+	file string
+	errs ruleset.Errors
+}
+
+// Error returns a line for each fault.
+func (e fileError) Error() string {
+	return "the rules file has errors:\n" + strings.TrimSuffix(formatErrors(e.file, e.errs), "\n")
+}
+
 // readRules returns the rules of a file. Its error has every fault of the file.
 func readRules(file string) (*ruleset.Rules, []byte, error) {
 	text, err := os.ReadFile(file)
@@ -57,8 +68,7 @@
 	r, err := ruleset.Parse(text)
 	var all ruleset.Errors
 	if errors.As(err, &all) {
-		return nil, nil, fmt.Errorf("the rules file has errors:\n%s",
-			strings.TrimSuffix(formatErrors(file, all), "\n"))
+		return nil, nil, fileError{file, all}
 	}
 	return r, text, err
 }
--- a/pkg/ruleset/errors_test.go
+++ b/pkg/ruleset/errors_test.go
@@ -101,6 +101,12 @@
 		Expect(faults(base + "recall engines g # t\nrecall engines g # t")[0].Column).To(Equal(8))
 	})
 
+	It("proposes the rule that a misspelt one resembles", func() {
+		fix := faults(base + "organization a # t")[0].Fix
+		Expect(fix).To(Equal("write `organisation NAME rate N burst N weight N prefer wait|refuse`"))
+		Expect(faults(base + "x # t")[0].Fix).To(HavePrefix("start the line with one of domain, "))
+	})
+
 	It("rejects a text without a domain, such as an empty value of the platform", func() {
 		Expect(faults("")).To(ConsistOf(HaveField("Cause", ContainSubstring("no domain"))))
 	})
--- a/pkg/ruleset/fuzz_test.go
+++ b/pkg/ruleset/fuzz_test.go
@@ -29,6 +29,11 @@
 		if !again.Equal(r) || again.String() != printed || len(ruleset.Diff(r, again)) > 0 {
 			t.Fatalf("printed text parses to other rules:\n%s", printed)
 		}
+		for _, route := range r.Routes() {
+			if got, ok := r.Route(string(route.Path)); !ok || got != route {
+				t.Fatalf("lookup of %s gives %v", route.Path, got)
+			}
+		}
 	})
 }
 
--- a/pkg/ruleset/line.go
+++ b/pkg/ruleset/line.go
@@ -243,6 +243,28 @@
 	return true
 }
 
+// distance returns the number of bytes to insert, remove or replace to turn a
+// into b.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			replace := diagonal
+			if a[i] != b[j] {
+				replace++
+			}
+			diagonal = row[j+1]
+			row[j+1] = min(replace, row[j]+1, row[j+1]+1)
+		}
+	}
+	return row[len(b)]
+}
+
 // quote returns s as a short quoted string on one line.
 func quote(s string) string {
 	r := []rune(s)
--- a/pkg/ruleset/parse.go
+++ b/pkg/ruleset/parse.go
@@ -139,13 +139,21 @@
 	case KindStale:
 		return p.stale(l, o)
 	}
+	l.fail(first.column, unknownFix(first.text), "unknown rule %s", quote(first.text))
+	return nil
+}
+
+// unknownFix proposes the rule that the text resembles, such as "organisation"
+// for "organization", or lists all rules.
+func unknownFix(text string) string {
 	names := make([]string, len(kindOrder))
 	for i, k := range kindOrder {
 		names[i] = string(k)
+		if len(text) <= maxName && distance(text, names[i]) <= 2 {
+			return "write `" + form[k] + "`"
+		}
 	}
-	l.fail(first.column, "start the line with one of "+strings.Join(names, ", "),
-		"unknown rule %s", quote(first.text))
-	return nil
+	return "start the line with one of " + strings.Join(names, ", ")
 }
 
 func (p *parser) domain(l *line, o Origin) rule {
--- a/pkg/slo/report.go
+++ b/pkg/slo/report.go
@@ -168,8 +168,8 @@
 
 // Add adds a report. After an error the sum is as before.
 func (m *Merger) Add(r Report) error {
-	if len(r.Windows) == 0 {
-		return fmt.Errorf("merge reports: report has no windows")
+	if len(r.Windows) == 0 || !(r.Objective > 0 && r.Objective < 1) {
+		return fmt.Errorf("merge reports: report has no windows or no objective between 0 and 1")
 	}
 	if m.series != nil && !r.sameTargets(m.sum) {
 		return fmt.Errorf("merge reports: targets or windows differ")
--- a/pkg/slo/slo_test.go
+++ b/pkg/slo/slo_test.go
@@ -187,8 +187,15 @@
 		short.Series = []slo.Series{{Organisation: "a"}}
 		_, err = slo.Merge(short)
 		Expect(err).To(MatchError(ContainSubstring("0 windows")))
-		_, err = slo.Merge(slo.Report{})
-		Expect(err).To(HaveOccurred())
+		for _, change := range []func(*slo.Report){
+			func(r *slo.Report) { r.Windows = nil },
+			func(r *slo.Report) { r.Objective = 1 },
+		} {
+			bad := parts[0]
+			change(&bad)
+			_, err = slo.Merge(bad)
+			Expect(err).To(HaveOccurred())
+		}
 	})
 
 	It("prints a row for each window of the total and of each series", func() {
