Check that rules can be shared between goroutines

Cause: the front end and the node read the same rules at once, and no spec ran that under the race detector. Change: a spec with four goroutines that use lookups, explain, diff and print.

--- a/pkg/ruleset/ruleset_test.go
+++ b/pkg/ruleset/ruleset_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -118,6 +119,23 @@
 		Expect(m.Versions).To(Equal([]ident.Version{"v7", "v6"}))
 	})
 
+	It("serves goroutines at once, which the race detector checks", func() {
+		rules := r()
+		var group sync.WaitGroup
+		for range 4 {
+			group.Go(func() {
+				m, _ := rules.Model("inspect-lm")
+				m.Versions[0] = "changed"
+				rules.Explain("clip-hire", "inspect-lm")
+				rules.Route("/counter/x")
+				_ = ruleset.Diff(rules, rules)
+				_ = rules.String()
+			})
+		}
+		group.Wait()
+		Expect(rules.Equal(r())).To(BeTrue())
+	})
+
 	It("prints text that parses to equal rules and keeps the comments", func() {
 		text := r().String()
 		Expect(parse(text).Equal(r())).To(BeTrue())
