--- a/pkg/fairqueue/queue.go
+++ b/pkg/fairqueue/queue.go
@@ -42,6 +42,8 @@
 
 // Queue is a weighted fair queue. K identifies an item.
 type Queue[K comparable, T any] struct {
+	burst    float64
+	weights  float64 // sum over flows
 	virtual  float64 // start time of the item served last
 	flows    map[ident.Organisation]*flow[K, T]
 	active   []*flow[K, T] // flows with items, by start time and name
@@ -57,9 +59,13 @@
 	items        []Item[K, T]
 }
 
-// New returns an empty queue.
-func New[K comparable, T any]() *Queue[K, T] {
+// New returns an empty queue. burst is what all organisations together may save up
+// in tokens while they send less than their share; each saves its share of it.
+// Without it, an organisation close to its share waits long whenever another one
+// keeps the queue full; a large one lets the others wait for its bursts.
+func New[K comparable, T any](burst float64) *Queue[K, T] {
 	return &Queue[K, T]{
+		burst: burst,
 		flows: map[ident.Organisation]*flow[K, T]{},
 		items: map[K]*flow[K, T]{},
 	}
@@ -83,9 +89,10 @@
 		it.Weight = 1
 	}
 	f := q.flow(it.Organisation)
+	q.weights += it.Weight - f.weight
 	f.weight = it.Weight
 	if len(f.items) == 0 {
-		f.start = max(f.start, q.virtual)
+		f.start = max(f.start, q.earliest())
 		q.activate(f)
 	}
 	it.sequence = q.sequence
@@ -144,7 +151,7 @@
 	if !ok {
 		return
 	}
-	start := max(f.start+tokens/f.weight, q.virtual)
+	start := max(f.start+tokens/f.weight, q.earliest())
 	if len(f.items) == 0 {
 		f.start = start
 		return
@@ -162,7 +169,7 @@
 		weight = 1
 	}
 	own := Load{}
-	begin := q.virtual
+	begin := q.earliest()
 	if f, ok := q.flows[o]; ok {
 		own = Load{Items: float64(len(f.items)), Cost: f.cost}
 		begin = max(begin, f.start)
@@ -225,11 +232,20 @@
 	delete(q.items, it.Key)
 }
 
+// earliest is the start time of an organisation that has saved up all it may.
+func (q *Queue[K, T]) earliest() float64 {
+	return q.virtual - q.burst/max(q.weights, minWeights)
+}
+
+// minWeights keeps the start time finite before the first organisation is known.
+const minWeights = 1e-6
+
 func (q *Queue[K, T]) flow(o ident.Organisation) *flow[K, T] {
 	f, ok := q.flows[o]
 	if !ok {
-		f = &flow[K, T]{organisation: o, weight: 1, start: q.virtual}
+		f = &flow[K, T]{organisation: o, weight: 1, start: q.earliest()}
 		q.flows[o] = f
+		q.weights += f.weight
 	}
 	return f
 }
@@ -254,8 +270,9 @@
 		return
 	}
 	for o, f := range q.flows {
-		if len(f.items) == 0 && f.start <= q.virtual {
+		if len(f.items) == 0 && f.start <= q.earliest() {
 			delete(q.flows, o)
+			q.weights -= f.weight
 		}
 	}
 }
--- a/pkg/fairqueue/queue_test.go
+++ b/pkg/fairqueue/queue_test.go
@@ -52,7 +52,7 @@
 
 var _ = Describe("Queue", func() {
 	It("serves a late small organisation next, although another has a long backlog", func() {
-		q := fairqueue.New[int, string]()
+		q := fairqueue.New[int, string](0)
 		push(q, "greedy", 1, 1000, 0, 500)
 		take(q, 100)
 		push(q, "small", 1, 1000, 1000, 1)
@@ -60,15 +60,27 @@
 	})
 
 	It("shares tokens by weight, whatever the sizes of the requests", func() {
-		q := fairqueue.New[int, string]()
+		q := fairqueue.New[int, string](0)
 		push(q, "a", 3, 100, 0, 3000)
 		push(q, "b", 1, 1000, 10_000, 300)
 		s := served(take(q, 1000))
 		Expect(s["a"] / s["b"]).To(BeNumerically("~", 3, 0.1))
 	})
 
-	It("gives no credit for idle time, which would let an organisation starve the others", func() {
-		q := fairqueue.New[int, string]()
+	It("bounds what idle time saves up by the share of the burst", func() {
+		q := fairqueue.New[int, string](10_000)
+		push(q, "busy", 1, 100, 0, 1000)
+		push(q, "idle", 1, 100, 5000, 1)
+		take(q, 500)
+		push(q, "idle", 1, 100, 10_000, 400)
+		s := served(take(q, 100))
+		Expect(s["idle"]-s["busy"]).To(BeNumerically("~", 5000, 200))
+		s = served(take(q, 100))
+		Expect(s["idle"]).To(BeNumerically("~", s["busy"], 200))
+	})
+
+	It("gives no credit for idle time without a burst, which would let an organisation starve the others", func() {
+		q := fairqueue.New[int, string](0)
 		push(q, "busy", 1, 100, 0, 1000)
 		take(q, 500)
 		push(q, "idle", 1, 100, 10_000, 200)
@@ -77,7 +89,7 @@
 	})
 
 	It("charges what was really used, so that a long estimate costs nobody its share", func() {
-		q := fairqueue.New[int, string]()
+		q := fairqueue.New[int, string](0)
 		push(q, "a", 1, 1000, 0, 400)
 		push(q, "b", 1, 500, 10_000, 400)
 		s := map[ident.Organisation]float64{}
@@ -90,7 +102,7 @@
 	})
 
 	It("goes on to other organisations when the first item of one has to wait", func() {
-		q := fairqueue.New[int, string]()
+		q := fairqueue.New[int, string](0)
 		push(q, "a", 1, 1, 0, 1)
 		push(q, "b", 1, 1, 1, 1)
 		var got []int
@@ -106,7 +118,7 @@
 	})
 
 	It("serves higher priority first, within the organisation only", func() {
-		q := fairqueue.New[int, string]()
+		q := fairqueue.New[int, string](0)
 		q.Push(item{Key: 1, Organisation: "a", Cost: 1})
 		q.Push(item{Key: 2, Organisation: "a", Cost: 1, Priority: 5})
 		q.Push(item{Key: 3, Organisation: "b", Cost: 1})
@@ -118,7 +130,7 @@
 	})
 
 	It("predicts for a well-behaved organisation a short wait behind a greedy one", func() {
-		q := fairqueue.New[int, string]()
+		q := fairqueue.New[int, string](0)
 		push(q, "greedy", 1, 1000, 0, 500)
 		Expect(q.Ahead("greedy", 1, 1000).Cost).To(BeNumerically("==", 500_000))
 		Expect(q.Ahead("small", 1, 1000).Cost).To(BeNumerically("<=", 1000))
@@ -129,7 +141,7 @@
 
 	It("keeps its index consistent over random operations", func() {
 		rng := rand.New(rand.NewPCG(3, 4))
-		q := fairqueue.New[int, string]()
+		q := fairqueue.New[int, string](0)
 		want := map[int]bool{}
 		for i := range 3000 {
 			switch rng.IntN(4) {
--- a/pkg/placement/client.go
+++ b/pkg/placement/client.go
@@ -171,6 +171,9 @@
 
 // onQueued notes that a request waits at a host, which need not be the one asked.
 func (p *Placer) onQueued(now time.Time, from ident.HostID, m *Queued) {
+	if h := p.holds[m.Ref]; h != nil && h.owner.Host == from {
+		return // overtaken by the booking
+	}
 	a := p.asks[m.Ref]
 	if a == nil {
 		p.sendRelease(from, m.Ref, m.Round, unused)
--- a/pkg/placement/config.go
+++ b/pkg/placement/config.go
@@ -39,6 +39,11 @@
 	DownTime time.Duration
 	// QueueLimit bounds the queue of a pool, in requests.
 	QueueLimit int
+	// FairBurst is what the organisations of a pool together may save up, in
+	// tokens, while they send less than their share. A larger one refuses less
+	// work of organisations near their share; with a smaller one a burst of one
+	// delays the others less.
+	FairBurst float64
 	// PrefixBlocks bounds the prompt blocks remembered per prefill engine.
 	PrefixBlocks int
 	// Spills is how many other domains a client asks when its own pool is full.
@@ -71,6 +76,7 @@
 		ReleasedTTL:        10 * time.Second,
 		DownTime:           2 * time.Second,
 		QueueLimit:         1024,
+		FairBurst:          400_000,
 		PrefixBlocks:       4096,
 		Spills:             2,
 		PrefillPerToken:    25 * time.Microsecond,
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -31,7 +31,7 @@
 	return &pool{
 		key:      key,
 		engines:  map[ident.BackendID]*engineState{},
-		queue:    fairqueue.New[ident.BackendRef, *ticket](),
+		queue:    fairqueue.New[ident.BackendRef, *ticket](cfg.FairBurst),
 		bookings: map[ident.BackendRef]*booking{},
 		hold:     newRate(hold, priorRequests, keepHold),
 		perCost:  rate{keep: keepHold},
