--- a/pkg/limits/bucket.go
+++ b/pkg/limits/bucket.go
@@ -156,13 +156,23 @@
 	return len(b.loans) > 0 || len(b.waiting) > 0 || b.borrow != nil || b.lent > 0
 }
 
+// mintTime returns how long the fleet takes to mint what n tokens lack here.
+func (l *Limiter) mintTime(b *bucket, n float64) time.Duration {
+	if b.policy.Rate <= 0 {
+		return math.MaxInt64
+	}
+	return time.Duration(min(max(0, n-b.level)/b.policy.Rate, maxMintSeconds) * float64(time.Second))
+}
+
+// maxMintSeconds keeps durations of tiny rates in range.
+const maxMintSeconds = 365 * 24 * 3600
+
 // retryAfter returns when the fleet will have minted what n tokens lack here.
 func (l *Limiter) retryAfter(b *bucket, n float64) time.Duration {
 	if b.policy.Rate <= 0 {
 		return 0
 	}
-	lack := max(1, n-b.level)
-	d := time.Duration(math.Ceil(lack / b.policy.Rate * float64(time.Second)))
+	d := l.mintTime(b, n)
 	if wait := l.slot.mintFrom.Sub(l.slot.now); l.slot.ended == "" && !l.slot.lapsed && wait > d {
 		return wait
 	}
--- a/pkg/limits/hub.go
+++ b/pkg/limits/hub.go
@@ -15,18 +15,21 @@
 	domainFanout = 4
 	// hubRounds bounds how often a hub asks again when hosts lend less than expected.
 	hubRounds = 4
+	// refillSeconds is the time in which a hub assumes that a bucket fills up by
+	// refunds and returns, which it does not see.
+	refillSeconds = 0.25
 )
 
 // hub brokers loans between the hosts of the own domain and other hubs.
 type hub struct {
-	brokered map[ID]*brokered
+	brokered map[ask]*brokered
 	queue    []*brokered // in the order in which they end
 	// spare holds what hosts and remote hubs said they have left.
 	spare map[ident.Organisation]map[ident.HostID]spare
 }
 
 func newHub() hub {
-	return hub{brokered: map[ID]*brokered{}, spare: map[ident.Organisation]map[ident.HostID]spare{}}
+	return hub{brokered: map[ask]*brokered{}, spare: map[ident.Organisation]map[ident.HostID]spare{}}
 }
 
 // spare is a host's own statement about its tokens, which grow by minting.
@@ -43,7 +46,7 @@
 	want    float64
 	granted float64
 	asked   map[ident.HostID]bool
-	pending map[ident.HostID]bool
+	pending map[ident.HostID]uint8 // round of the unanswered request
 	rounds  int
 	roundBy time.Time // silent hosts are not waited for after this time
 	end     time.Time
@@ -57,7 +60,7 @@
 		return
 	}
 	granted := l.lend(m, res)
-	res.send(from, Message{Report: &Report{Borrow: m.ID, Organisation: m.Organisation, Granted: granted, Spare: l.spareTokens(m.Organisation)}})
+	res.send(from, Message{Report: &Report{Borrow: m.ID, Organisation: m.Organisation, Round: m.Round, Granted: granted, Spare: l.spareTokens(m.Organisation)}})
 }
 
 // spareTokens returns what this host could lend now.
@@ -71,7 +74,7 @@
 
 // broker starts the search for lenders. A repeated request is ignored.
 func (l *Limiter) broker(from ident.HostID, m Borrow, res *Result) {
-	if l.hub.brokered[m.ID] != nil || len(l.hub.brokered) >= maxBrokered {
+	if l.hub.brokered[m.ask()] != nil || len(l.hub.brokered) >= maxBrokered {
 		return
 	}
 	now := l.slot.now
@@ -81,20 +84,25 @@
 		need:    float64(m.Need),
 		want:    float64(m.Want),
 		asked:   map[ident.HostID]bool{m.ID.Process.Host: true},
-		pending: map[ident.HostID]bool{},
+		pending: map[ident.HostID]uint8{},
 		end:     now.Add(l.cfg.BorrowTimeout),
 	}
-	l.hub.brokered[m.ID] = x
+	l.hub.brokered[m.ask()] = x
 	l.hub.queue = append(l.hub.queue, x)
 	if !x.asked[l.cfg.Self.Host] {
 		x.asked[l.cfg.Self.Host] = true
 		own := m
 		own.Step = ToLender
+		own.Round = x.round()
 		x.grant(float64(l.lend(own, res)))
 	}
 	l.search(x, res)
 }
 
+// round numbers the requests of this hub. A remote hub's rounds differ for each
+// round of the hub that asked it.
+func (x *brokered) round() uint8 { return x.msg.Round*(hubRounds+1) + uint8(x.rounds) }
+
 func (x *brokered) grant(n float64) {
 	x.granted += n
 	x.need -= n
@@ -130,24 +138,42 @@
 }
 
 // ask sends the request to the best candidates and returns what they are not
-// expected to cover.
+// expected to cover. The amounts leave the lenders with equal levels, because a
+// full bucket mints nothing.
 func (l *Limiter) ask(x *brokered, cs []candidate, step Step, fanout int, lack float64, res *Result) float64 {
-	for i, c := range cs {
-		if i >= fanout || lack <= 0 {
-			break
-		}
+	cs = cs[:min(len(cs), fanout)]
+	n, level := waterLevel(cs, lack)
+	for _, c := range cs[:n] {
 		m := x.msg
 		m.Step = step
-		m.Want = int64(math.Ceil(min(lack, c.tokens)))
+		m.Round = x.round()
+		m.Want = int64(math.Ceil(c.tokens - level))
 		m.Need = min(m.Want, int64(math.Ceil(x.need)))
 		x.asked[c.host] = true
-		x.pending[c.host] = true
+		x.pending[c.host] = m.Round
 		res.send(c.host, Message{Borrow: &m})
-		lack -= c.tokens
+		lack -= c.tokens - level
 	}
 	return lack
 }
 
+// waterLevel returns how many of the candidates, richest first, must lend, and
+// the level that remains with each of them, to give lack tokens together.
+func waterLevel(cs []candidate, lack float64) (int, float64) {
+	if lack <= 0 {
+		return 0, 0
+	}
+	sum := 0.0
+	for i, c := range cs {
+		sum += c.tokens
+		level := (sum - lack) / float64(i+1)
+		if i+1 == len(cs) || level >= cs[i+1].tokens {
+			return i + 1, max(0, level)
+		}
+	}
+	return 0, 0
+}
+
 // remoteHubs returns one hub of each other domain that has not been asked.
 func (l *Limiter) remoteHubs(x *brokered, b *bucket) []candidate {
 	hosts := make([]ident.HostID, 0, len(l.remotes))
@@ -169,8 +195,8 @@
 		}
 		tokens := share * b.policy.Burst * size
 		if s, ok := known[h]; ok {
-			minted := l.slot.now.Sub(s.at).Seconds() * b.policy.Rate * share * size
-			tokens = min(tokens, s.tokens+minted)
+			age := l.slot.now.Sub(s.at).Seconds()
+			tokens = min(tokens, s.tokens+age*share*size*max(b.policy.Rate, b.policy.Burst/refillSeconds))
 		}
 		if tokens >= 1 {
 			cs = append(cs, candidate{host: h, tokens: tokens})
@@ -197,19 +223,29 @@
 // the search. A report for an own borrow request ends it.
 func (l *Limiter) receiveReport(from ident.HostID, m Report, res *Result) {
 	l.hub.note(m.Organisation, from, spare{tokens: float64(m.Spare), at: l.slot.now})
-	if x := l.hub.brokered[m.Borrow]; x != nil {
-		if x.pending[from] {
-			delete(x.pending, from)
-			x.grant(float64(m.Granted))
-			l.search(x, res)
+	if x := l.hub.find(m.Borrow, from, m.Round); x != nil {
+		delete(x.pending, from)
+		x.grant(float64(m.Granted))
+		if m.Granted > 0 && m.Spare > 0 {
+			delete(x.asked, from) // it was asked for less than it has
 		}
+		l.search(x, res)
 		return
 	}
-	if br := l.borrows[m.Borrow]; br != nil {
+	if br := l.borrows[m.Borrow]; br != nil && m.Round == 0 {
 		l.searchEnded(br, float64(m.Granted), res)
 	}
 }
 
+// find returns the request for which the host's answer is outstanding.
+func (h *hub) find(id ID, from ident.HostID, round uint8) *brokered {
+	x := h.brokered[ask{id: id, round: round / (hubRounds + 1)}]
+	if x == nil || round == 0 || x.pending[from] != round {
+		return nil
+	}
+	return x
+}
+
 func (h *hub) note(org ident.Organisation, host ident.HostID, s spare) {
 	m := h.spare[org]
 	if m == nil {
@@ -235,6 +271,7 @@
 	res.send(x.from, Message{Report: &Report{
 		Borrow:       x.msg.ID,
 		Organisation: x.msg.Organisation,
+		Round:        x.msg.Round,
 		Granted:      int64(x.granted),
 		Spare:        int64(l.domainSpare(x)),
 	}})
@@ -258,7 +295,7 @@
 func (l *Limiter) tickHub(res *Result) {
 	now := l.slot.now
 	for len(l.hub.queue) > 0 && !now.Before(l.hub.queue[0].end) {
-		delete(l.hub.brokered, l.hub.queue[0].msg.ID)
+		delete(l.hub.brokered, l.hub.queue[0].msg.ask())
 		l.hub.queue[0] = nil
 		l.hub.queue = l.hub.queue[1:]
 	}
--- a/pkg/limits/lender.go
+++ b/pkg/limits/lender.go
@@ -11,6 +11,7 @@
 type lentLoan struct {
 	bucket   *bucket
 	loan     Loan
+	ask      ask
 	borrower ident.HostID
 	end      time.Time // LoanTTL plus LoanMargin after the grant
 	left     float64   // capacity that has not come back
@@ -21,11 +22,11 @@
 type lentLoans struct {
 	queue    []*lentLoan
 	byNumber map[uint64]*lentLoan
-	byBorrow map[ID]*lentLoan
+	byAsk    map[ask]*lentLoan
 }
 
 func newLentLoans() lentLoans {
-	return lentLoans{byNumber: map[uint64]*lentLoan{}, byBorrow: map[ID]*lentLoan{}}
+	return lentLoans{byNumber: map[uint64]*lentLoan{}, byAsk: map[ask]*lentLoan{}}
 }
 
 // inherit takes over the loans of a predecessor. They cannot be returned.
@@ -44,7 +45,7 @@
 		l.lent.queue[0] = nil
 		l.lent.queue = l.lent.queue[1:]
 		delete(l.lent.byNumber, x.loan.ID.Number)
-		delete(l.lent.byBorrow, x.loan.Borrow)
+		delete(l.lent.byAsk, x.ask)
 		l.restore(x, x.left)
 	}
 }
@@ -64,7 +65,7 @@
 // It returns the amount. A repeated request gets the same loan again.
 func (l *Limiter) lend(m Borrow, res *Result) int64 {
 	borrower := m.ID.Process.Host
-	if old := l.lent.byBorrow[m.ID]; old != nil {
+	if old := l.lent.byAsk[m.ask()]; old != nil {
 		loan := old.loan
 		res.send(borrower, Message{Loan: &loan})
 		return loan.Tokens
@@ -85,11 +86,12 @@
 		borrower: borrower,
 		end:      l.slot.now.Add(l.cfg.LoanTTL + l.cfg.LoanMargin),
 		left:     n,
+		ask:      m.ask(),
 		loan:     Loan{ID: l.nextID(), Borrow: m.ID, Organisation: b.name, Policy: b.policy, Tokens: int64(n)},
 	}
 	l.lent.queue = append(l.lent.queue, x)
 	l.lent.byNumber[x.loan.ID.Number] = x
-	l.lent.byBorrow[m.ID] = x
+	l.lent.byAsk[m.ask()] = x
 	l.activate(b)
 	loan := x.loan
 	res.send(borrower, Message{Loan: &loan})
--- a/pkg/limits/limiter.go
+++ b/pkg/limits/limiter.go
@@ -51,7 +51,7 @@
 		ContactTimeout: 3 * time.Second,
 		LoanTTL:        time.Second,
 		LoanMargin:     250 * time.Millisecond,
-		BorrowTimeout:  100 * time.Millisecond,
+		BorrowTimeout:  200 * time.Millisecond,
 	}
 }
 
--- a/pkg/limits/loan.go
+++ b/pkg/limits/loan.go
@@ -12,8 +12,11 @@
 	// minLoanBackoff and maxLoanBackoff bound the time for which no loan is sought
 	// after the fleet was found to be out of tokens. Without it an organisation
 	// above its rate would cost messages with every request.
-	minLoanBackoff = 10 * time.Millisecond
+	minLoanBackoff = 20 * time.Millisecond
 	maxLoanBackoff = 250 * time.Millisecond
+	// borrowTries is how often a reservation is asked for within BorrowTimeout when
+	// answers are missing.
+	borrowTries = 3
 )
 
 // borrow is a request for loans that this host has sent.
@@ -42,7 +45,7 @@
 // request is under way.
 func (l *Limiter) startBorrow(b *bucket, res *Result) {
 	lack := math.Ceil(b.short - b.level)
-	if b.borrow != nil || lack <= 0 {
+	if b.borrow != nil || lack <= 0 || l.slot.now.Before(b.noLoanUntil) {
 		return
 	}
 	want := min(lack+math.Ceil(b.demand.expected()), max(lack, math.Ceil(b.policy.Burst)))
@@ -50,7 +53,7 @@
 		id:       l.nextID(),
 		bucket:   b,
 		need:     lack,
-		answerBy: l.slot.now.Add(l.cfg.BorrowTimeout),
+		answerBy: l.slot.now.Add(l.cfg.BorrowTimeout / borrowTries),
 		end:      l.slot.now.Add(l.cfg.LoanTTL),
 		loans:    map[ID]bool{},
 	}
@@ -113,7 +116,9 @@
 	}
 }
 
-// borrowFailed refuses what waits and cannot be covered.
+// borrowFailed puts the next request off until the fleet should have minted what
+// the first waiting reservation lacks, and refuses those that this is too late
+// for.
 func (l *Limiter) borrowFailed(br *borrow, res *Result) {
 	b := br.bucket
 	if b.borrow != br {
@@ -121,11 +126,12 @@
 	}
 	b.borrow = nil
 	l.touch(b)
-	if b.policy.Rate > 0 {
-		pause := time.Duration((br.need - br.got) / b.policy.Rate * float64(time.Second))
-		b.noLoanUntil = l.slot.now.Add(min(max(pause, minLoanBackoff), maxLoanBackoff))
+	l.refuseHopeless(b, res)
+	pause := minLoanBackoff
+	if len(b.waiting) > 0 {
+		pause = l.mintTime(b, b.waiting[0].tokens)
 	}
-	l.refuseShort(b, res)
+	b.noLoanUntil = l.slot.now.Add(min(max(pause, minLoanBackoff), maxLoanBackoff))
 }
 
 // receiveLoan adds a loan to the bucket. A loan of a request that is no longer
--- a/pkg/limits/message.go
+++ b/pkg/limits/message.go
@@ -38,8 +38,19 @@
 	// sent the request.
 	TTL  time.Duration `cbor:"6,keyasint"`
 	Step Step          `cbor:"7,keyasint,omitempty"`
+	// Round is the hub's count of requests for the same ID. A lender answers
+	// each round once.
+	Round uint8 `cbor:"8,keyasint,omitempty"`
 }
 
+// ask tells the rounds of a Borrow apart.
+type ask struct {
+	id    ID
+	round uint8
+}
+
+func (b Borrow) ask() ask { return ask{id: b.ID, round: b.Round} }
+
 // Step says which leg of the way from borrower to lender a Borrow is on.
 type Step uint8
 
@@ -66,6 +77,7 @@
 	Organisation ident.Organisation `cbor:"2,keyasint"`
 	Granted      int64              `cbor:"3,keyasint"`
 	Spare        int64              `cbor:"4,keyasint"`
+	Round        uint8              `cbor:"5,keyasint,omitempty"`
 }
 
 // Return gives loans back to their lender.
--- a/pkg/limits/reserve.go
+++ b/pkg/limits/reserve.go
@@ -37,7 +37,7 @@
 		l.grant(b, req, n, &res)
 		return res
 	}
-	if why := l.cannotWait(b); why != "" {
+	if why := l.cannotWait(b, n); why != "" {
 		res.refuse(req, why, l.retryAfter(b, n))
 		return res
 	}
@@ -67,11 +67,13 @@
 
 // cannotWait names the reason why a request that is short of tokens is refused
 // without asking for a loan.
-func (l *Limiter) cannotWait(b *bucket) Reason {
+func (l *Limiter) cannotWait(b *bucket, n float64) Reason {
 	if len(l.wait) >= maxWaiting {
 		return ReasonQueueFull
 	}
-	if len(l.peers) == 1 && len(l.remotes) == 0 || l.slot.now.Before(b.noLoanUntil) {
+	alone := len(l.peers) == 1 && len(l.remotes) == 0
+	knownShort := l.slot.now.Before(b.noLoanUntil) && l.mintTime(b, b.short+n) > 2*l.cfg.BorrowTimeout
+	if alone || knownShort {
 		return l.shortReason()
 	}
 	return ""
@@ -171,9 +173,6 @@
 func (l *Limiter) forget(w *waiter) {
 	delete(l.wait, w.request)
 	w.bucket.short -= w.tokens
-	if len(w.bucket.waiting) == 0 {
-		w.bucket.short = 0
-	}
 }
 
 func (l *Limiter) shiftWaiting(b *bucket) *waiter {
@@ -196,16 +195,25 @@
 	}
 }
 
-// refuseShort refuses the waiting reservations that the level cannot cover,
-// after the fleet has been found to be out of tokens.
-func (l *Limiter) refuseShort(b *bucket, res *Result) {
-	for len(b.waiting) > 0 {
-		w := l.shiftWaiting(b)
-		if b.level >= w.tokens {
+// refuseHopeless serves what waits as far as the level reaches and refuses what
+// the fleet will not have minted tokens for by the end of its wait.
+func (l *Limiter) refuseHopeless(b *bucket, res *Result) {
+	waiting := b.waiting
+	b.waiting = nil
+	ahead := 0.0
+	for _, w := range waiting {
+		left := w.until.Sub(l.slot.now)
+		switch {
+		case ahead == 0 && b.level >= w.tokens:
+			l.forget(w)
 			l.grant(b, w.request, w.tokens, res)
-			continue
+		case l.mintTime(b, ahead+w.tokens) > 2*left:
+			l.forget(w)
+			res.refuse(w.request, l.shortReason(), l.retryAfter(b, w.tokens))
+		default:
+			ahead += w.tokens
+			b.waiting = append(b.waiting, w)
 		}
-		res.refuse(w.request, l.shortReason(), l.retryAfter(b, w.tokens))
 	}
 }
 
