--- /dev/null
+++ b/internal/checker/hosts.go
@@ -0,0 +1,105 @@
+package checker
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/mulberrystream/mulberrystream/internal/record"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+)
+
+// checkStops finds answers that broke at a host while it stopped gracefully. A
+// host that crashed meanwhile is no graceful stop any more.
+func checkStops(r *run) []Violation {
+	var out []Violation
+	stopping := map[string]time.Time{}
+	hosts := map[string]ident.HostID{}
+	for _, c := range r.calls {
+		hosts[c.sent.Call] = c.sent.Host
+	}
+	for _, x := range r.records {
+		switch x.Kind {
+		case record.Stopping:
+			stopping[string(x.Host)] = x.Time
+		case record.Crash, record.Restart:
+			delete(stopping, string(x.Host))
+		case record.Broken:
+			host := hosts[x.Call]
+			since, ok := stopping[string(host)]
+			after := x.Time.Sub(since)
+			if ok && (r.cfg.StopLimit == 0 || after < r.cfg.StopLimit) {
+				out = append(out, Violation{
+					Invariant: 9, Time: x.Time, Subject: x.Call,
+					Detail: fmt.Sprintf("answer broke %v after host %s began to stop", after, host),
+				})
+			}
+		}
+	}
+	return out
+}
+
+// checkConfig finds hosts that applied a configuration late or went back.
+func checkConfig(r *run) []Violation {
+	out := r.reverts()
+	for _, x := range r.records {
+		if x.Kind != record.Published || slices.Contains(r.cfg.Rejected, x.Revision) {
+			continue
+		}
+		for _, h := range r.cfg.Hosts {
+			out = append(out, r.late(x, h)...)
+		}
+	}
+	return out
+}
+
+func (r *run) reverts() []Violation {
+	var out []Violation
+	highest := map[ident.HostID]ident.Revision{}
+	for _, x := range r.records {
+		if x.Kind != record.InForce {
+			continue
+		}
+		if top := highest[x.Host]; x.Revision < top {
+			out = append(out, Violation{
+				Invariant: 10, Time: x.Time, Subject: string(x.Host),
+				Detail: fmt.Sprintf("went back from revision %d to %d", top, x.Revision),
+			})
+		}
+		highest[x.Host] = max(highest[x.Host], x.Revision)
+	}
+	return out
+}
+
+// late judges the first report of a host after the configuration was due.
+func (r *run) late(published Record, h ident.HostID) []Violation {
+	due := r.due(published.Time, h)
+	for _, x := range r.records {
+		if x.Kind != record.InForce || x.Host != h || !x.Time.After(due) {
+			continue
+		}
+		if x.Revision >= published.Revision {
+			return nil
+		}
+		return []Violation{{
+			Invariant: 10, Time: x.Time, Subject: string(h),
+			Detail: fmt.Sprintf("has revision %d %v after %d was published", x.Revision, x.Time.Sub(published.Time), published.Revision),
+		}}
+	}
+	return nil
+}
+
+// due returns when a host must have a configuration: the bound after it was
+// published and after the last outage that touches this time.
+func (r *run) due(published time.Time, h ident.HostID) time.Time {
+	due := published.Add(r.cfg.ConfigBound)
+	outages := slices.Clone(r.cfg.Outages)
+	slices.SortFunc(outages, func(a, b Outage) int { return a.From.Compare(b.From) })
+	for _, o := range outages {
+		touches := (o.Host == "" || o.Host == h) && o.From.Before(due) && o.To.After(published)
+		if after := o.To.Add(r.cfg.ConfigBound); touches && after.After(due) {
+			due = after
+		}
+	}
+	return due
+}
--- a/internal/fake/control.go
+++ b/internal/fake/control.go
@@ -112,7 +112,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.note(record.Record{Kind: record.Order, Reason: string(o.Kind), Fence: o.Fence})
+	e.note(record.Record{Kind: record.Order, Reason: string(o.Kind), Fence: o.Fence, Model: o.Model, Version: o.Version})
 	if o.Fence < e.fence && !e.cfg.IgnoreFence {
 		e.note(record.Record{Kind: record.Refused, Step: "order", Fence: o.Fence, Reason: engine.CodeStaleFence})
 		writeError(w, http.StatusConflict, engine.CodeStaleFence, "a higher fencing number has been seen")
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -189,12 +189,14 @@
 	}
 }
 
-// note records an event of this engine. It takes the fields that differ.
+// note records an event of this engine. An order names its own model and version.
 func (e *Engine) note(r record.Record) {
 	r.Server = string(e.cfg.Info.ID)
-	r.Model = e.info.Model
-	r.Version = e.info.Version
 	r.Group = e.info.Group
+	if r.Kind != record.Order {
+		r.Model = e.info.Model
+		r.Version = e.info.Version
+	}
 	e.log.Add(r)
 }
 
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -34,11 +34,12 @@
 	FaultSet Kind = "fault"   // a fault was switched; Reason has it
 )
 
-// Kinds of records of the platform.
+// Kinds of records of the platform and of entry hosts.
 const (
 	Published Kind = "published" // a configuration was published; Revision has it
 	Read      Kind = "read"      // a reader got a value; Reason has its name
 	InForce   Kind = "in_force"  // a host reported the revision it applies
+	Stopping  Kind = "stopping"  // a host was asked to stop gracefully
 )
 
 // Kinds of records of callers.
@@ -61,7 +62,7 @@
 	// Backend servers and the platform.
 	Server   string            `json:"server,omitempty"`
 	Model    ident.Model       `json:"model,omitempty"`
-	Version  ident.Version     `json:"version,omitempty"`
+	Version  ident.Version     `json:"version,omitempty"` // that the server serves, or an order names
 	Group    string            `json:"group,omitempty"`
 	Ref      *ident.BackendRef `json:"ref,omitempty"`
 	Headers  []string          `json:"headers,omitempty"` // "Name: value"
