--- /dev/null
+++ b/pkg/limits/bench_test.go
@@ -0,0 +1,141 @@
+package limits_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/limits"
+)
+
+// fleetOf returns a limiter that holds its right, with organisations and peers.
+func fleetOf(orgs, hosts int) (*limits.Limiter, []ident.Organisation, time.Time) {
+	l := limits.New(limits.DefaultConfig(self, "d0"), epoch)
+	ps := map[ident.Organisation]limits.Policy{}
+	names := make([]ident.Organisation, orgs)
+	for i := range names {
+		names[i] = ident.Organisation(fmt.Sprint("org-", i))
+		ps[names[i]] = limits.Policy{Rate: 1e9, Burst: 1e9}
+	}
+	var peers []limits.Peer
+	for i := range hosts {
+		peers = append(peers, limits.Peer{Host: ident.HostID(fmt.Sprint("p", i)), Domain: "d0"})
+	}
+	for i := range 36 {
+		peers = append(peers, limits.Peer{Host: ident.HostID(fmt.Sprint("r", i)), Domain: ident.FailureDomain(fmt.Sprint("d", 1+i/2))})
+	}
+	l.SetPolicies(epoch, 1/float64(hosts), ps)
+	now := epoch
+	for range 10 {
+		now = now.Add(time.Second)
+		l.Contact(now)
+	}
+	l.SetPeers(now, peers)
+	return l, names, now
+}
+
+func sizes(b *testing.B, run func(b *testing.B, l *limits.Limiter, names []ident.Organisation, now time.Time)) {
+	for _, hosts := range []int{8, 90} {
+		for _, orgs := range []int{10, 100, 410} {
+			b.Run(fmt.Sprintf("hosts=%d/orgs=%d", hosts, orgs), func(b *testing.B) {
+				l, names, now := fleetOf(orgs, hosts)
+				b.ReportAllocs()
+				run(b, l, names, now)
+			})
+		}
+	}
+}
+
+// requests returns enough request ids that one is settled before its next use.
+func requests() []ident.RequestID {
+	ids := make([]ident.RequestID, 1024)
+	for i := range ids {
+		ids[i] = ident.NewRequestID(self, uint64(i))
+	}
+	return ids
+}
+
+// BenchmarkReserveSettle measures both with 512 requests open.
+func BenchmarkReserveSettle(b *testing.B) {
+	sizes(b, func(b *testing.B, l *limits.Limiter, names []ident.Organisation, now time.Time) {
+		ids := requests()
+		i := 0
+		for b.Loop() {
+			now = now.Add(time.Microsecond)
+			l.Reserve(now, names[i%len(names)], ids[i%1024], 1000)
+			l.Settle(now, ids[(i+512)%1024], 500)
+			if i++; i%1000 == 0 {
+				l.Contact(now)
+			}
+		}
+	})
+}
+
+// BenchmarkReceive measures a Borrow at a lender and the Return of the loan.
+func BenchmarkReceive(b *testing.B) {
+	sizes(b, func(b *testing.B, l *limits.Limiter, names []ident.Organisation, now time.Time) {
+		number := uint64(0)
+		for b.Loop() {
+			now = now.Add(100 * time.Microsecond)
+			number++
+			m := limits.Borrow{
+				ID:           limits.ID{Process: ident.Process{Host: "p1", Incarnation: 1}, Number: number},
+				Organisation: names[number%uint64(len(names))], Policy: limits.Policy{Rate: 1e9, Burst: 1e9},
+				Need: 100, Want: 100, TTL: time.Second, Step: limits.ToLender,
+			}
+			res := l.Receive(now, "p0", limits.Message{Borrow: &m})
+			loan := res.Envelopes[0].Message.Loan
+			l.Receive(now, "p1", limits.Message{Return: &limits.Return{Loans: []limits.Returned{{Number: loan.ID.Number, Process: self.Incarnation, Capacity: 100}}}})
+			if number%1000 == 0 {
+				l.Contact(now)
+			}
+		}
+	})
+}
+
+// BenchmarkHub measures a Borrow at a hub with the search for the first lenders.
+func BenchmarkHub(b *testing.B) {
+	sizes(b, func(b *testing.B, l *limits.Limiter, names []ident.Organisation, now time.Time) {
+		number := uint64(0)
+		for b.Loop() {
+			now = now.Add(500 * time.Microsecond)
+			number++
+			m := limits.Borrow{
+				ID:           limits.ID{Process: ident.Process{Host: "p1", Incarnation: 1}, Number: number},
+				Organisation: names[number%uint64(len(names))], Policy: limits.Policy{Rate: 1e9, Burst: 1e9},
+				Need: 2e8, Want: 2e8, TTL: time.Second,
+			}
+			l.Receive(now, "p1", limits.Message{Borrow: &m})
+			if number%100 == 0 {
+				l.Contact(now)
+				l.Tick(now)
+			}
+		}
+	})
+}
+
+// BenchmarkTick measures a Tick with a loan out for every organisation.
+func BenchmarkTick(b *testing.B) {
+	sizes(b, func(b *testing.B, l *limits.Limiter, names []ident.Organisation, now time.Time) {
+		number := uint64(0)
+		lend := func() {
+			for _, name := range names {
+				number++
+				m := limits.Borrow{ID: limits.ID{Process: ident.Process{Host: "p1", Incarnation: 1}, Number: number}, Organisation: name,
+					Policy: limits.Policy{Rate: 1e9, Burst: 1e9}, Need: 100, Want: 100, TTL: time.Second, Step: limits.ToLender}
+				l.Receive(now, "p0", limits.Message{Borrow: &m})
+			}
+		}
+		for i := 0; b.Loop(); i++ {
+			if i%10 == 0 {
+				b.StopTimer()
+				l.Contact(now)
+				lend()
+				b.StartTimer()
+			}
+			now = now.Add(50 * time.Millisecond)
+			l.Tick(now)
+		}
+	})
+}
--- a/pkg/limits/unit_test.go
+++ b/pkg/limits/unit_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -141,6 +142,25 @@
 		Expect(asks).To(Equal(4 * (8 + 4)))
 	})
 
+	It("survive the codec, so that no field is lost on the way", func() {
+		id := limits.ID{Process: ident.Process{Host: "teku-12", Incarnation: 1764800000000}, Number: 123456}
+		for _, m := range []limits.Message{
+			{Borrow: &limits.Borrow{ID: id, Organisation: org, Policy: policy, Need: 900, Want: 1800, TTL: time.Second, Step: limits.ToLender, Round: 3}},
+			{Loan: &limits.Loan{ID: id, Borrow: id, Organisation: org, Policy: policy, Tokens: 900}},
+			{Report: &limits.Report{Borrow: id, Organisation: org, Granted: 900, Spare: 12, Round: 3}},
+			{Return: &limits.Return{Loans: []limits.Returned{{Number: 1, Process: 2, Capacity: 3.5, Tokens: 3}}}},
+			{SlotQuery: &limits.SlotQuery{Process: self}},
+			{SlotReleased: &limits.SlotReleased{Process: self, LoansEnd: 7, Leftover: []limits.Leftover{{Organisation: org, Policy: policy, Level: 5, Lent: 6}}}},
+		} {
+			b, err := cbor.Marshal(m)
+			Expect(err).NotTo(HaveOccurred())
+			var back limits.Message
+			Expect(cbor.Unmarshal(b, &back)).To(Succeed())
+			Expect(back).To(Equal(m))
+			AddReportEntry("size", fmt.Sprintf("%d bytes", len(b)))
+		}
+	})
+
 	It("are used once although each message arrives twice", func() {
 		l, now := lone(limits.Policy{Rate: 100, Burst: 200})
 		l.SetPeers(now, []limits.Peer{{Host: "h1", Domain: "d0"}})
