Test placement, reclaim and recall under failures; spill early

Cause: the failure cases of design.md section 5 had no test. Writing them showed four faults: a request queued at home although another domain had room; new owners were asked before they knew the old owner's bookings; a silent domain made a request choose an engine of its own full pool; a new organisation got less credit in the fair queue than one that was already known. Change: a Book says that another domain has room (Spills), and the owner then refuses a request that would wait for half of its budget; bookings are registered before questions are repeated; a silent pool of another domain counts as full; a new organisation starts without savings.

--- a/pkg/fairqueue/queue.go
+++ b/pkg/fairqueue/queue.go
@@ -60,7 +60,8 @@
 }
 
 // New returns an empty queue. burst is what all organisations together may save up
-// in tokens while they send less than their share; each saves its share of it.
+// in tokens while they send less than their share; each saves its share of it, and
+// starts with nothing.
 // Without it, an organisation close to its share waits long whenever another one
 // keeps the queue full; a large one lets the others wait for its bursts.
 func New[K comparable, T any](burst float64) *Queue[K, T] {
@@ -80,6 +81,16 @@
 	return ok
 }
 
+// Get returns a queued item's value.
+func (q *Queue[K, T]) Get(key K) (value T, ok bool) {
+	f, ok := q.items[key]
+	if !ok {
+		return value, false
+	}
+	at := slices.IndexFunc(f.items, func(it Item[K, T]) bool { return it.Key == key })
+	return f.items[at].Value, true
+}
+
 // Push adds an item. A key that is already queued is left as it is.
 func (q *Queue[K, T]) Push(it Item[K, T]) bool {
 	if q.Has(it.Key) {
@@ -169,10 +180,10 @@
 		weight = 1
 	}
 	own := Load{}
-	begin := q.earliest()
+	begin := q.virtual
 	if f, ok := q.flows[o]; ok {
 		own = Load{Items: float64(len(f.items)), Cost: f.cost}
-		begin = max(begin, f.start)
+		begin = max(q.earliest(), f.start)
 	}
 	start := begin + own.Cost/weight
 	sum := own
@@ -243,7 +254,7 @@
 func (q *Queue[K, T]) flow(o ident.Organisation) *flow[K, T] {
 	f, ok := q.flows[o]
 	if !ok {
-		f = &flow[K, T]{organisation: o, weight: 1, start: q.earliest()}
+		f = &flow[K, T]{organisation: o, weight: 1, start: q.virtual}
 		q.flows[o] = f
 		q.weights += f.weight
 	}
@@ -261,9 +272,9 @@
 	}
 }
 
-// idleFlows bounds the idle organisations that are remembered before those
-// without a debt are forgotten.
-const idleFlows = 64
+// idleFlows is how many idle organisations are remembered before those that have
+// saved up all they may are forgotten. A forgotten one starts without savings.
+const idleFlows = 1024
 
 func (q *Queue[K, T]) purge() {
 	if len(q.flows)-len(q.active) <= idleFlows {
--- a/pkg/fairqueue/queue_test.go
+++ b/pkg/fairqueue/queue_test.go
@@ -74,7 +74,7 @@
 		take(q, 500)
 		push(q, "idle", 1, 100, 10_000, 400)
 		s := served(take(q, 100))
-		Expect(s["idle"]-s["busy"]).To(BeNumerically("~", 5000, 200))
+		Expect(s["idle"] - s["busy"]).To(BeNumerically("~", 5000, 200))
 		s = served(take(q, 100))
 		Expect(s["idle"]).To(BeNumerically("~", s["busy"], 200))
 	})
--- a/pkg/placement/booking.go
+++ b/pkg/placement/booking.go
@@ -38,6 +38,14 @@
 // that the caller already has.
 func (b *Book) prompt() int { return b.PromptTokens + b.Offset }
 
+// limit returns the longest acceptable prediction of the time to first token.
+func (b *Book) limit() time.Duration {
+	if b.Spills {
+		return b.Budget / 2
+	}
+	return b.Budget
+}
+
 // cost returns the tokens charged to the organisation.
 func (b *Book) cost() float64 { return float64(b.prompt() + b.MaxTokens) }
 
--- a/pkg/placement/claims.go
+++ b/pkg/placement/claims.go
@@ -34,13 +34,7 @@
 // hold memory for it.
 func (p *Placer) onOrphans(now time.Time, orphans []reclaim.Orphan) {
 	for _, o := range orphans {
-		for _, pl := range p.sortedPools() {
-			pl.queue.Remove(o.Ref)
-			if pl.remove(now, o.Ref) != nil {
-				p.dispatch(now, pl)
-			}
-		}
-		p.released.add(now, o.Ref, lastRound)
+		p.dropOrphan(now, o)
 		for _, id := range o.Engines {
 			if e, ok := p.fleet.engines[id]; ok {
 				p.out.Cancels = append(p.out.Cancels, Cancel{Backend: e, Ref: o.Ref})
@@ -49,5 +43,16 @@
 	}
 }
 
-// lastRound is above every round, for attempts that must not come back.
-const lastRound = ^uint32(0)
+// dropOrphan ends an orphan's booking or place in the queue. Its host may ask for
+// the attempt again in a later round when it was only silent.
+func (p *Placer) dropOrphan(now time.Time, o reclaim.Orphan) {
+	for _, pl := range p.sortedPools() {
+		if it, ok := pl.queue.Remove(o.Ref); ok {
+			p.released.add(now, o.Ref, it.Value.book.Round)
+		}
+		if b := pl.remove(now, o.Ref); b != nil {
+			p.released.add(now, o.Ref, b.round)
+			p.dispatch(now, pl)
+		}
+	}
+}
--- a/pkg/placement/client.go
+++ b/pkg/placement/client.go
@@ -22,7 +22,8 @@
 	asked    map[ident.HostID]uint32 // latest round by host
 	tried    []Pool
 	rejected int  // bookings that named a recalled or unknown engine
-	last     bool // the final attempt, which may wait
+	spills   bool // another domain has room for it
+	last     bool // the final attempt, at the first pool again
 	reason   Reason
 	retry    time.Duration
 }
@@ -122,8 +123,9 @@
 	p.askNext(now, a)
 }
 
-// askNext asks the first host of the pool that has not been silent, and chooses
-// locally when the owner and its stand-in were.
+// askNext asks the first host of the pool that has not been silent. When the owner
+// and its stand-in were, it chooses locally; a silent pool of another domain counts
+// as full.
 func (p *Placer) askNext(now time.Time, a *ask) {
 	for _, h := range p.rank(a.pool) {
 		if len(a.silent) < standIns && !slices.Contains(a.silent, h) {
@@ -131,6 +133,10 @@
 			return
 		}
 	}
+	if a.pool != a.tried[0] {
+		p.afterRefusal(now, a, ReasonDeadline, p.cfg.ClaimInterval)
+		return
+	}
 	p.chooseLocally(now, a)
 }
 
@@ -148,6 +154,7 @@
 	a.heard = now
 	r := a.req
 	_, other := p.spillPool(r, a.tried, false)
+	a.spills = other && !a.last && len(a.tried) <= p.cfg.Spills
 	p.send(a.to, Message{Book: &Book{
 		Pool:         a.pool,
 		Origin:       p.cfg.Self,
@@ -163,7 +170,8 @@
 		Offset:       r.Offset,
 		Priority:     r.Priority,
 		Budget:       a.deadline.Sub(now),
-		Wait:         r.Wait && (a.last || !other),
+		Wait:         r.Wait && !a.spills,
+		Spills:       a.spills,
 		Exclude:      r.Exclude,
 		Acting:       len(a.silent) > 0,
 	}})
@@ -280,8 +288,8 @@
 	}
 }
 
-// afterRefusal tries another domain with free capacity, then waits at home when
-// the caller prefers that, and refuses at last.
+// afterRefusal tries another domain with free capacity. After that it asks the
+// first pool again, which refused early, or may queue the request now.
 func (p *Placer) afterRefusal(now time.Time, a *ask, reason Reason, retry time.Duration) {
 	if a.reason == "" || retry < a.retry {
 		a.reason, a.retry = reason, retry
@@ -298,7 +306,7 @@
 		}
 	}
 	full := a.reason == ReasonDeadline || a.reason == ReasonQueueFull
-	if a.req.Wait && full {
+	if full && len(a.tried) > 1 {
 		a.last = true
 		p.askPool(now, a, a.tried[0])
 		return
@@ -379,7 +387,7 @@
 
 // voidHold ends a booking whose engines must not be used any more.
 func (p *Placer) voidHold(now time.Time, h *hold, reason Reason, retry time.Duration) {
-	p.dropHold(h, 0)
+	p.dropHold(h, unused)
 	ref := h.booking.Ref
 	p.out.Refused = append(p.out.Refused, Refusal{Ref: ref, Reason: reason, RetryAfter: retry, Booked: true})
 	p.out.Cancels = append(p.out.Cancels,
--- /dev/null
+++ b/pkg/placement/cluster_test.go
@@ -0,0 +1,215 @@
+package placement_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/mulberrystream/mulberrystream/pkg/engine"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/placement"
+)
+
+// cluster connects the Placers of a few hosts by a network that a test can break.
+// Its steps last 5 ms, and a message takes one step.
+type cluster struct {
+	now     time.Time
+	views   []placement.HostView
+	engines []engine.Info
+	placers map[ident.HostID]*placement.Placer
+	stopped map[ident.HostID]bool
+	mail    []letter
+	cut     func(from, to ident.HostID, m placement.Message) bool
+	rng     *rand.Rand // when set, messages are lost, repeated and delayed
+	booked  map[ident.BackendRef][]placement.Booking
+	refused map[ident.BackendRef][]placement.Refusal
+	cancels []placement.Cancel
+}
+
+type letter struct {
+	from, to ident.HostID
+	message  placement.Message
+	at       time.Time
+}
+
+const step = 5 * time.Millisecond
+
+// newCluster starts n hosts in each domain.
+func newCluster(n int, engines []engine.Info, domains ...ident.FailureDomain) *cluster {
+	c := &cluster{
+		now:     epoch,
+		engines: engines,
+		placers: map[ident.HostID]*placement.Placer{},
+		stopped: map[ident.HostID]bool{},
+		booked:  map[ident.BackendRef][]placement.Booking{},
+		refused: map[ident.BackendRef][]placement.Refusal{},
+	}
+	for _, d := range domains {
+		for i := range n {
+			c.views = append(c.views, placement.HostView{Process: host(d, i), Domain: d, Live: true})
+		}
+	}
+	for i, v := range c.views {
+		cfg := placement.DefaultConfig(v.Process, v.Domain)
+		cfg.Seed = uint64(i)
+		c.placers[v.Process.Host] = placement.New(cfg, epoch)
+	}
+	c.setHosts()
+	for _, v := range c.views {
+		c.take(v.Process.Host, c.at(v.Process).SetEngines(c.now, engines))
+	}
+	return c
+}
+
+func (c *cluster) at(p ident.Process) *placement.Placer { return c.placers[p.Host] }
+
+// setHosts tells every running host the membership view.
+func (c *cluster) setHosts() {
+	for _, v := range c.views {
+		if !c.stopped[v.Process.Host] {
+			c.take(v.Process.Host, c.at(v.Process).SetHosts(c.now, c.views))
+		}
+	}
+}
+
+// kill stops a host. The others learn of it with declareDead.
+func (c *cluster) kill(p ident.Process) { c.stopped[p.Host] = true }
+
+func (c *cluster) declareDead(p ident.Process) {
+	for i := range c.views {
+		if c.views[i].Process == p {
+			c.views[i].Live = false
+		}
+	}
+	c.setHosts()
+}
+
+// owner returns the host that owns the test model's pool, and the others of the
+// domain in rendezvous order.
+func (c *cluster) owner(d ident.FailureDomain) (ident.Process, []ident.Process) {
+	var ids []ident.HostID
+	byID := map[ident.HostID]ident.Process{}
+	for _, v := range c.views {
+		if v.Domain == d && v.Live {
+			ids = append(ids, v.Process.Host)
+			byID[v.Process.Host] = v.Process
+		}
+	}
+	var out []ident.Process
+	for _, id := range ident.Rank("pool/"+string(model)+"/"+string(d), ids) {
+		out = append(out, byID[id])
+	}
+	return out[0], out[1:]
+}
+
+func (c *cluster) book(p ident.Process, r placement.Request) {
+	c.take(p.Host, c.at(p).Book(c.now, r))
+}
+
+func (c *cluster) release(p ident.Process, ref ident.BackendRef) {
+	c.take(p.Host, c.at(p).Release(c.now, ref, 100))
+}
+
+func (c *cluster) prefilled(p ident.Process, ref ident.BackendRef) {
+	c.take(p.Host, c.at(p).PrefillDone(c.now, ref))
+}
+
+func (c *cluster) report(p ident.Process, r engine.Report) {
+	c.take(p.Host, c.at(p).Report(c.now, r))
+}
+
+func (c *cluster) recall(p ident.Process, r placement.Recall) {
+	c.take(p.Host, c.at(p).SetRecall(c.now, r))
+}
+
+// take notes decisions and puts messages into the network.
+func (c *cluster) take(from ident.HostID, r placement.Result) {
+	for _, b := range r.Booked {
+		c.booked[b.Ref] = append(c.booked[b.Ref], b)
+	}
+	for _, f := range r.Refused {
+		c.refused[f.Ref] = append(c.refused[f.Ref], f)
+	}
+	c.cancels = append(c.cancels, r.Cancels...)
+	for _, e := range r.Envelopes {
+		if c.cut != nil && c.cut(from, e.To, e.Message) {
+			continue
+		}
+		for range c.copies() {
+			c.mail = append(c.mail, letter{from, e.To, e.Message, c.now.Add(c.delay())})
+		}
+	}
+}
+
+// copies is 0 for a lost message and 2 for a repeated one.
+func (c *cluster) copies() int {
+	if c.rng == nil {
+		return 1
+	}
+	switch c.rng.IntN(10) {
+	case 0:
+		return 0
+	case 1:
+		return 2
+	}
+	return 1
+}
+
+func (c *cluster) delay() time.Duration {
+	if c.rng == nil {
+		return step
+	}
+	return time.Duration(c.rng.IntN(30)) * step
+}
+
+// run lets time pass.
+func (c *cluster) run(d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.now = c.now.Add(step)
+		c.deliver()
+		for _, v := range c.views {
+			if id := v.Process.Host; !c.stopped[id] {
+				c.take(id, c.placers[id].Tick(c.now))
+			}
+		}
+	}
+}
+
+func (c *cluster) deliver() {
+	due := slices.Clone(c.mail)
+	c.mail = slices.DeleteFunc(c.mail, func(l letter) bool { return !l.at.After(c.now) })
+	for _, l := range due {
+		if !l.at.After(c.now) && !c.stopped[l.to] && c.placers[l.to] != nil {
+			c.take(l.to, c.placers[l.to].Receive(c.now, l.from, l.message))
+		}
+	}
+}
+
+// free returns the free slots that a host publishes for the test model.
+func (c *cluster) free(p ident.Process) int {
+	for _, f := range c.at(p).Free() {
+		if f.Model == model {
+			return f.Free
+		}
+	}
+	return -1
+}
+
+// enginesOf returns one prefill engine and n decode engines of a version.
+func enginesOf(d ident.FailureDomain, n int, v ident.Version) []engine.Info {
+	out := []engine.Info{backend(d, engine.Prefill, 0, v)}
+	for i := range n {
+		out = append(out, backend(d, engine.Decode, i, v))
+	}
+	return out
+}
+
+// reportOf is a report of an engine that holds the given attempts.
+func reportOf(e engine.Info, sequence uint64, held ...ident.BackendRef) engine.Report {
+	r := engine.Report{ID: e.ID, Sequence: sequence, Start: 1, Role: e.Role, Model: e.Model,
+		Version: e.Version, Slots: e.Slots, Running: len(held)}
+	for _, ref := range held {
+		r.Held = append(r.Held, engine.HeldRequest{Ref: ref})
+	}
+	return r
+}
--- a/pkg/placement/engine.go
+++ b/pkg/placement/engine.go
@@ -126,10 +126,10 @@
 	return r.Start == e.previous
 }
 
-// apply takes the figures of a report. It tells whether the engine restarted.
-func (e *engineState) apply(r engine.Report) bool {
-	restarted := e.reported && r.Start != e.start
-	if restarted {
+// apply takes the figures of a report. A new start means that the engine has
+// restarted and lost its cache.
+func (e *engineState) apply(r engine.Report) {
+	if e.reported && r.Start != e.start {
 		e.previous = e.start
 		e.cache.reset()
 	}
@@ -147,5 +147,4 @@
 		e.info.Slots = r.Slots
 	}
 	e.info.Leaving = r.Leaving || e.listed.Leaving
-	return restarted
 }
--- a/pkg/placement/handover.go
+++ b/pkg/placement/handover.go
@@ -102,36 +102,44 @@
 	p.tracker.Renew(now, h.Ref)
 }
 
-// moveRequests asks again for requests whose host is gone, and tells new owners
-// of this host's bookings.
+// moveRequests tells new owners of this host's bookings, and then asks again for
+// requests whose host is gone.
 func (p *Placer) moveRequests(now time.Time) {
+	p.registerHolds(now)
 	for _, ref := range sortedKeys(p.asks, compareRefs) {
 		a := p.asks[ref]
-		if a.to != p.cfg.Self.Host && !p.reachable(a.to) {
+		if p.gone(ident.Process{Host: a.to}, a.pool) {
 			a.silent = nil
 			p.askNext(now, a)
 		}
 	}
-	p.registerHolds(now)
 }
 
-func (p *Placer) reachable(id ident.HostID) bool {
-	h, ok := p.hosts[id]
-	return ok && h.Live
+// gone tells whether a process that answered for a pool does not run any more.
+// Only of the own domain does this host know every host.
+func (p *Placer) gone(q ident.Process, key Pool) bool {
+	if q.Host == p.cfg.Self.Host {
+		return false
+	}
+	h, known := p.hosts[q.Host]
+	if !known {
+		return key.Domain == p.cfg.Domain
+	}
+	return !h.Live || q.Incarnation != 0 && q.Incarnation != h.Process.Incarnation
 }
 
-// registerHolds sends this host's bookings to the owners that cannot know them:
-// the owner that made them is gone, or it has restarted.
+// registerHolds sends this host's bookings to owners that cannot know them: the
+// owner that made them is gone or has handed the pool over, or there was none.
 func (p *Placer) registerHolds(now time.Time) {
 	moved := map[Pool]*Handover{}
 	for _, ref := range sortedKeys(p.holds, compareRefs) {
 		h := p.holds[ref]
 		owner := p.ownerOf(h.pool)
-		if owner == "" || h.owner == p.process(owner) {
+		if owner == "" || h.owner.Host == owner && !p.gone(h.owner, h.pool) {
 			continue
 		}
-		if p.reachable(h.owner.Host) && h.owner == p.process(h.owner.Host) && h.pool.Domain != p.cfg.Domain {
-			continue // this host may not know all hosts of the other domain
+		if h.owner.Host != "" && h.pool.Domain != p.cfg.Domain && !p.gone(h.owner, h.pool) {
+			continue
 		}
 		h.owner = p.process(owner)
 		m := moved[h.pool]
--- a/pkg/placement/message.go
+++ b/pkg/placement/message.go
@@ -46,6 +46,9 @@
 	// Acting asks a host to book although it is not the owner, because the owner
 	// did not answer.
 	Acting bool `cbor:"17,keyasint,omitempty"`
+	// Spills says that another domain has room: the owner refuses a request that
+	// would use up most of its budget in the queue.
+	Spills bool `cbor:"19,keyasint,omitempty"`
 	// Forwarded is set when a host that was not the owner passed the message on.
 	Forwarded bool `cbor:"18,keyasint,omitempty"`
 }
--- a/pkg/placement/owner.go
+++ b/pkg/placement/owner.go
@@ -26,12 +26,34 @@
 			return
 		}
 	}
-	if it, ok := pl.queue.Remove(b.Ref); ok {
-		b.Round = max(b.Round, it.Value.book.Round)
+	if t, ok := pl.queue.Get(b.Ref); ok {
+		p.requeue(now, pl, t, b)
+		return
 	}
 	p.enqueue(now, pl, b)
 }
 
+// requeue takes a repeated Book for a request that is queued. The request keeps
+// its place.
+func (p *Placer) requeue(now time.Time, pl *pool, t *ticket, b *Book) {
+	if b.Round >= t.book.Round {
+		t.book.Round = b.Round
+		t.book.Exclude = b.Exclude
+		t.book.Wait = b.Wait
+	}
+	p.tracker.Renew(now, b.Ref)
+	p.recheckQueue(now, pl)
+	p.dispatch(now, pl)
+	p.sendQueued(pl, b)
+}
+
+// sendQueued tells the origin that its request waits, unless it was decided.
+func (p *Placer) sendQueued(pl *pool, b *Book) {
+	if pl.queue.Has(b.Ref) {
+		p.send(b.Origin.Host, Message{Queued: &Queued{Ref: b.Ref, Round: b.Round}})
+	}
+}
+
 // answerBooked repeats the answer to a repeated Book. It returns false when the
 // origin has excluded an engine of the booking, and drops the booking.
 func (p *Placer) answerBooked(now time.Time, pl *pool, old *booking, b *Book) bool {
@@ -89,7 +111,7 @@
 		return
 	}
 	expected := pl.predict(p, now, b)
-	if late := expected - b.Budget + p.cfg.Margin; late > 0 && !b.Wait {
+	if late := expected - b.limit() + p.cfg.Margin; late > 0 && !b.Wait {
 		p.refuse(b, ReasonDeadline, late)
 		return
 	}
@@ -106,9 +128,7 @@
 	})
 	p.tracker.Renew(now, b.Ref)
 	p.dispatch(now, pl)
-	if pl.queue.Has(b.Ref) {
-		p.send(b.Origin.Host, Message{Queued: &Queued{Ref: b.Ref, Round: b.Round}})
-	}
+	p.sendQueued(pl, b)
 }
 
 // makeRoom drops the newest request of the organisation with the largest backlog.
@@ -139,7 +159,7 @@
 	if c.free == 0 || c.prefill == 0 || c.least > p.cfg.PrefillAhead {
 		return fairqueue.Stop
 	}
-	best, ok, _ := pl.choose(p, now, t)
+	best, ok := pl.choose(p, now, t)
 	if !ok {
 		return fairqueue.Skip
 	}
@@ -229,9 +249,11 @@
 func (p *Placer) onRelease(now time.Time, m *Release) {
 	p.released.add(now, m.Ref, m.Round)
 	for _, pl := range p.pools {
-		if it, ok := pl.queue.Remove(m.Ref); ok && it.Value.book.Round > m.Round {
-			pl.queue.Push(it)
-			return
+		if t, ok := pl.queue.Get(m.Ref); ok {
+			if t.book.Round > m.Round {
+				return
+			}
+			pl.queue.Remove(m.Ref)
 		}
 	}
 	pl, b := p.booked(m.Ref)
--- a/pkg/placement/placer.go
+++ b/pkg/placement/placer.go
@@ -247,3 +247,8 @@
 }
 
 func compareHosts(a, b ident.HostID) int { return cmp.Compare(a, b) }
+
+// Idle tells whether this host has neither undecided requests nor bookings.
+func (p *Placer) Idle() bool {
+	return len(p.asks) == 0 && len(p.holds) == 0 && len(p.calls) == 0
+}
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -12,11 +12,13 @@
 
 // pool is the owner's state of one pool.
 type pool struct {
-	key      Pool
-	engines  map[ident.BackendID]*engineState
-	order    []*engineState // by id
-	queue    *fairqueue.Queue[ident.BackendRef, *ticket]
-	bookings map[ident.BackendRef]*booking
+	key     Pool
+	engines map[ident.BackendID]*engineState
+	order   []*engineState // by id
+	// described caches infos; nil after a change.
+	described []engine.Info
+	queue     *fairqueue.Queue[ident.BackendRef, *ticket]
+	bookings  map[ident.BackendRef]*booking
 
 	hold    rate // seconds that a decode slot is held, per request
 	perCost rate // seconds of prefill per token charged
@@ -50,6 +52,7 @@
 			pl.engines[info.ID] = newEngineState(cfg, info)
 		}
 	}
+	pl.described = nil
 	var gone []ident.BackendID
 	for _, e := range pl.order {
 		if id := e.listed.ID; !listed[id] {
@@ -67,11 +70,12 @@
 
 // infos returns the effective descriptions of the engines.
 func (pl *pool) infos() []engine.Info {
-	out := make([]engine.Info, len(pl.order))
-	for i, e := range pl.order {
-		out[i] = e.info
+	if pl.described == nil {
+		for _, e := range pl.order {
+			pl.described = append(pl.described, e.info)
+		}
 	}
-	return out
+	return pl.described
 }
 
 // insert enters a booking into the books of both engines.
--- a/pkg/placement/report.go
+++ b/pkg/placement/report.go
@@ -38,10 +38,11 @@
 		if e.suspect {
 			e.suspectAfter = now.Add(hintPause)
 		}
-		restarted := e.apply(r)
+		e.apply(r)
+		pl.described = nil
 		p.tracker.Observe(now, r.ID, r.Held)
 		if e.info.Role == engine.Decode {
-			p.reconcile(now, pl, e, r, restarted)
+			p.reconcile(now, pl, e, r)
 		}
 		p.recheckQueue(now, pl)
 		p.dispatch(now, pl)
@@ -50,9 +51,9 @@
 }
 
 // reconcile compares the booked slots with the requests that the engine holds.
-func (p *Placer) reconcile(now time.Time, pl *pool, e *engineState, r engine.Report, restarted bool) {
+func (p *Placer) reconcile(now time.Time, pl *pool, e *engineState, r engine.Report) {
 	held := make(map[ident.BackendRef]bool, len(r.Held))
-	e.strays = max(0, r.Running+r.Queued-len(r.Held))
+	e.strays = 0
 	for _, h := range r.Held {
 		held[h.Ref] = true
 		p.observeHeld(now, pl, e, h)
@@ -66,6 +67,8 @@
 			p.tracker.Release(now, ref)
 		}
 	}
+	// An engine may count requests that it does not list.
+	e.strays = max(e.strays, r.Running+r.Queued-max(len(r.Held), len(e.slots)))
 }
 
 // observeHeld matches one held request with its booking. A request without one
--- a/pkg/placement/scorer.go
+++ b/pkg/placement/scorer.go
@@ -83,15 +83,17 @@
 	return out
 }
 
-// choose returns the best plan for a ticket now. ok is false when no engine pair
-// can start it; busy then tells whether one could later.
-func (pl *pool) choose(p *Placer, now time.Time, t *ticket) (best plan, ok, busy bool) {
+// choose returns the best plan for a ticket. ok is false when no engine pair can
+// start it now.
+func (pl *pool) choose(p *Placer, now time.Time, t *ticket) (best plan, ok bool) {
 	w := t.wanted()
 	for _, v := range tiers(w, pl.infos()) {
 		score, someBusy, found := pl.bestPrefill(p, now, t, w, v)
+		if !found || someBusy {
+			continue
+		}
 		d := pl.bestDecode(p, now, w, v, now.Add(score.done()))
-		busy = busy || someBusy || found
-		if !found || someBusy || d == nil {
+		if d == nil {
 			continue
 		}
 		candidate := p.scorer.plan(now, score, d, &t.book)
@@ -99,10 +101,10 @@
 			best, ok = candidate, true
 		}
 		if len(w.versions) > 0 {
-			return best, true, false
+			return best, true
 		}
 	}
-	return best, ok, busy
+	return best, ok
 }
 
 // bestPrefill returns the engine that would end the prefill first. busy means that
