--- a/pkg/placement/chaos_test.go
+++ b/pkg/placement/chaos_test.go
@@ -72,9 +72,9 @@
 	})
 })
 
-// storm books requests of all hosts over a network that loses, repeats and
+// runUnreliable books requests of all hosts over a network that loses, repeats and
 // reorders, while a host dies and a version is recalled by half of the hosts.
-func storm(seed uint64) (*cluster, []answer) {
+func runUnreliable(seed uint64) (*cluster, []answer) {
 	engines := append(enginesOf(teku, 2, "v1"), enginesOf(teku, 2, "v2")...)
 	for i := range engines[3:] {
 		engines[3+i].ID += "-v2"
@@ -132,7 +132,7 @@
 var _ = Describe("lost, repeated, delayed and reordered messages", func() {
 	for seed := range uint64(4) {
 		It(fmt.Sprint("give every request one decision and leak no slot, seed ", seed), func() {
-			c, answers := storm(seed)
+			c, answers := runUnreliable(seed)
 			Expect(violations(answers, "v2")).To(BeEmpty())
 			owner, _ := c.owner(teku)
 			slots := 0
@@ -147,8 +147,8 @@
 	}
 
 	It("give the same decisions for the same seed", func() {
-		a, _ := storm(9)
-		b, _ := storm(9)
+		a, _ := runUnreliable(9)
+		b, _ := runUnreliable(9)
 		Expect(a.booked).To(Equal(b.booked))
 		Expect(a.refused).To(Equal(b.refused))
 		Expect(a.cancels).To(Equal(b.cancels))
--- a/pkg/placement/claims.go
+++ b/pkg/placement/claims.go
@@ -27,7 +27,7 @@
 // owns tells whether this process still wants an attempt. The request id names
 // the process, so an attempt of an earlier incarnation is never found.
 func (p *Placer) owns(ref ident.BackendRef) bool {
-	return p.asks[ref] != nil || p.holds[ref] != nil || p.owned != nil && p.owned(ref)
+	return p.pending[ref] != nil || p.leases[ref] != nil || p.owned != nil && p.owned(ref)
 }
 
 // onOrphans frees the booking of each orphan and cancels it at the engines that
--- a/pkg/placement/client.go
+++ b/pkg/placement/client.go
@@ -8,8 +8,8 @@
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 )
 
-// ask is the client's record of a request without a decision.
-type ask struct {
+// pending is the client's record of a request without a decision.
+type pending struct {
 	req      Request
 	deadline time.Time
 	pool     Pool
@@ -28,8 +28,8 @@
 	retry    time.Duration
 }
 
-// hold is the client's record of a booked request until its release.
-type hold struct {
+// lease is the client's record of a booked request until its release.
+type lease struct {
 	booking   Booking
 	req       Request
 	pool      Pool
@@ -51,23 +51,23 @@
 // Book asks for engines. The result comes now or from a later call.
 func (p *Placer) Book(now time.Time, r Request) Result {
 	p.begin(now)
-	if p.asks[r.Ref] == nil && p.holds[r.Ref] == nil {
-		p.startAsk(now, r)
+	if p.pending[r.Ref] == nil && p.leases[r.Ref] == nil {
+		p.startPending(now, r)
 	}
 	return p.finish(now)
 }
 
-func (p *Placer) startAsk(now time.Time, r Request) {
+func (p *Placer) startPending(now time.Time, r Request) {
 	if r.Budget <= 0 {
 		r.Budget = p.cfg.FirstTokenTarget
 	}
-	a := &ask{req: r, deadline: now.Add(r.Budget), asked: map[ident.HostID]uint32{}}
-	p.asks[r.Ref] = a
+	a := &pending{req: r, deadline: now.Add(r.Budget), asked: map[ident.HostID]uint32{}}
+	p.pending[r.Ref] = a
 	home, ok := p.homePool(r)
 	if !ok {
 		a.reason = p.whyNone(r)
 		a.retry = p.cfg.DownTime
-		p.giveUp(a)
+		p.rejectPending(a)
 		return
 	}
 	p.askPool(now, a, home)
@@ -117,7 +117,7 @@
 	return wanted{versions: r.Versions, adapter: r.Adapter, exclude: r.Exclude}
 }
 
-func (p *Placer) askPool(now time.Time, a *ask, key Pool) {
+func (p *Placer) askPool(now time.Time, a *pending, key Pool) {
 	a.pool = key
 	a.silent = nil
 	a.tried = append(a.tried, key)
@@ -127,7 +127,7 @@
 // askNext asks the first host of the pool that has not been silent. When the owner
 // and its stand-in were, it chooses locally; a silent pool of another domain counts
 // as full.
-func (p *Placer) askNext(now time.Time, a *ask) {
+func (p *Placer) askNext(now time.Time, a *pending) {
 	for _, h := range p.rank(a.pool) {
 		if len(a.silent) < standIns && !slices.Contains(a.silent, h) {
 			p.askHost(now, a, h)
@@ -142,7 +142,7 @@
 }
 
 // askHost sends the question to a host under a new round.
-func (p *Placer) askHost(now time.Time, a *ask, to ident.HostID) {
+func (p *Placer) askHost(now time.Time, a *pending, to ident.HostID) {
 	a.round++
 	a.to = to
 	a.asked[to] = a.round
@@ -150,7 +150,7 @@
 	p.sendBook(now, a)
 }
 
-func (p *Placer) sendBook(now time.Time, a *ask) {
+func (p *Placer) sendBook(now time.Time, a *pending) {
 	a.sent = now
 	a.heard = now
 	r := a.req
@@ -180,10 +180,10 @@
 
 // onQueued notes that a request waits at a host, which need not be the one asked.
 func (p *Placer) onQueued(now time.Time, from ident.HostID, m *Queued) {
-	if h := p.holds[m.Ref]; h != nil && h.owner.Host == from {
+	if h := p.leases[m.Ref]; h != nil && h.owner.Host == from {
 		return // overtaken by the booking
 	}
-	a := p.asks[m.Ref]
+	a := p.pending[m.Ref]
 	if a == nil {
 		p.sendRelease(from, m.Ref, m.Round, unused)
 		return
@@ -201,7 +201,7 @@
 
 // onBooked takes a booking, from whichever host grants it first.
 func (p *Placer) onBooked(now time.Time, from ident.HostID, m *Booked) {
-	if h := p.holds[m.Ref]; h != nil {
+	if h := p.leases[m.Ref]; h != nil {
 		if h.owner.Host != from {
 			p.sendRelease(from, m.Ref, m.Round, unused)
 			return
@@ -209,7 +209,7 @@
 		p.onMoved(h, m)
 		return
 	}
-	a := p.asks[m.Ref]
+	a := p.pending[m.Ref]
 	if a == nil {
 		p.sendRelease(from, m.Ref, m.Round, unused)
 		return
@@ -220,14 +220,14 @@
 		p.rejectBooking(now, from, a, m)
 		return
 	}
-	delete(p.asks, m.Ref)
+	delete(p.pending, m.Ref)
 	key := poolOf(prefill)
 	for _, h := range sortedKeys(a.asked, compareHosts) {
 		if h != from {
 			p.sendRelease(h, m.Ref, a.asked[h], unused)
 		}
 	}
-	p.hold(now, &hold{
+	p.addLease(&lease{
 		booking: Booking{Ref: m.Ref, Prefill: prefill, Decode: decode, PrefixHit: m.PrefixHit},
 		req:     a.req,
 		pool:    key,
@@ -253,7 +253,7 @@
 
 // rejectBooking returns a booking on an engine that this host must not use, and
 // asks again without the engines that the owner does not know to be unusable.
-func (p *Placer) rejectBooking(now time.Time, from ident.HostID, a *ask, m *Booked) {
+func (p *Placer) rejectBooking(now time.Time, from ident.HostID, a *pending, m *Booked) {
 	p.sendRelease(from, m.Ref, m.Round, unused)
 	if m.Round != a.round {
 		return
@@ -279,13 +279,13 @@
 
 // onRefused takes a refusal of a queued request, or the end of a booking.
 func (p *Placer) onRefused(now time.Time, from ident.HostID, m *Refused) {
-	if h := p.holds[m.Ref]; h != nil {
+	if h := p.leases[m.Ref]; h != nil {
 		if m.Booked && h.owner.Host == from {
-			p.voidHold(h, m.Reason, m.RetryAfter)
+			p.voidLease(h, m.Reason, m.RetryAfter)
 		}
 		return
 	}
-	if a := p.asks[m.Ref]; a != nil && a.round == m.Round {
+	if a := p.pending[m.Ref]; a != nil && a.round == m.Round {
 		delete(a.asked, from)
 		p.afterRefusal(now, a, m.Reason, m.RetryAfter)
 	}
@@ -293,12 +293,12 @@
 
 // afterRefusal tries another domain with free capacity. After that it asks the
 // first pool again, which refused early, or may queue the request now.
-func (p *Placer) afterRefusal(now time.Time, a *ask, reason Reason, retry time.Duration) {
+func (p *Placer) afterRefusal(now time.Time, a *pending, reason Reason, retry time.Duration) {
 	if a.reason == "" || retry < a.retry {
 		a.reason, a.retry = reason, retry
 	}
 	if a.last {
-		p.giveUp(a)
+		p.rejectPending(a)
 		return
 	}
 	if len(a.tried) <= p.cfg.Spills {
@@ -314,12 +314,12 @@
 		p.askPool(now, a, a.tried[0])
 		return
 	}
-	p.giveUp(a)
+	p.rejectPending(a)
 }
 
-// giveUp answers a request with its refusal.
-func (p *Placer) giveUp(a *ask) {
-	p.dropAsk(a)
+// rejectPending answers a request with its refusal.
+func (p *Placer) rejectPending(a *pending) {
+	p.dropPending(a)
 	p.out.Refused = append(p.out.Refused, Refusal{
 		Ref:        a.req.Ref,
 		Reason:     a.reason,
@@ -333,9 +333,9 @@
 // unused marks the release of a booking that no engine was asked for.
 const unused = -1
 
-// dropAsk forgets a request and tells every host that was asked.
-func (p *Placer) dropAsk(a *ask) {
-	delete(p.asks, a.req.Ref)
+// dropPending forgets a request and tells every host that was asked.
+func (p *Placer) dropPending(a *pending) {
+	delete(p.pending, a.req.Ref)
 	for _, h := range sortedKeys(a.asked, compareHosts) {
 		p.sendRelease(h, a.req.Ref, a.asked[h], unused)
 	}
@@ -348,7 +348,7 @@
 // PrefillDone notes the end of a prefill and tells the owner.
 func (p *Placer) PrefillDone(now time.Time, ref ident.BackendRef) Result {
 	p.begin(now)
-	if h := p.holds[ref]; h != nil && !h.prefilled {
+	if h := p.leases[ref]; h != nil && !h.prefilled {
 		h.prefilled = true
 		if h.owner.Host != "" {
 			p.send(h.owner.Host, Message{Prefill: &Prefilled{Ref: ref}})
@@ -360,37 +360,37 @@
 // Release ends a request in any state. It may be repeated.
 func (p *Placer) Release(now time.Time, ref ident.BackendRef, outputTokens int) Result {
 	p.begin(now)
-	if a := p.asks[ref]; a != nil {
-		p.dropAsk(a)
+	if a := p.pending[ref]; a != nil {
+		p.dropPending(a)
 	}
-	if h := p.holds[ref]; h != nil {
-		p.dropHold(h, outputTokens)
+	if h := p.leases[ref]; h != nil {
+		p.dropLease(h, outputTokens)
 	}
 	p.releaseService(ref)
 	return p.finish(now)
 }
 
-// hold enters a booking into the client's books and gives it to the node.
-func (p *Placer) hold(now time.Time, h *hold) {
-	p.holds[h.booking.Ref] = h
+// addLease enters a booking into the client's books and gives it to the node.
+func (p *Placer) addLease(h *lease) {
+	p.leases[h.booking.Ref] = h
 	p.inFlight[h.booking.Prefill.ID]++
 	p.inFlight[h.booking.Decode.ID]++
 	p.out.Booked = append(p.out.Booked, h.booking)
 }
 
-func (p *Placer) dropHold(h *hold, output int) {
+func (p *Placer) dropLease(h *lease, output int) {
 	ref := h.booking.Ref
-	delete(p.holds, ref)
-	p.landed(h.booking.Prefill.ID)
-	p.landed(h.booking.Decode.ID)
+	delete(p.leases, ref)
+	p.endCall(h.booking.Prefill.ID)
+	p.endCall(h.booking.Decode.ID)
 	if h.owner.Host != "" {
 		p.sendRelease(h.owner.Host, ref, h.round, output)
 	}
 }
 
-// voidHold ends a booking whose engines must not be used any more.
-func (p *Placer) voidHold(h *hold, reason Reason, retry time.Duration) {
-	p.dropHold(h, unused)
+// voidLease ends a booking whose engines must not be used any more.
+func (p *Placer) voidLease(h *lease, reason Reason, retry time.Duration) {
+	p.dropLease(h, unused)
 	ref := h.booking.Ref
 	p.out.Refused = append(p.out.Refused, Refusal{Ref: ref, Reason: reason, RetryAfter: retry, Booked: true})
 	p.out.Cancels = append(p.out.Cancels,
@@ -398,24 +398,24 @@
 		Cancel{Backend: h.booking.Decode, Ref: ref})
 }
 
-// tickAsks moves on from hosts that do not answer.
-func (p *Placer) tickAsks(now time.Time) {
+// tickPending moves on from hosts that do not answer.
+func (p *Placer) tickPending(now time.Time) {
 	var due []ident.BackendRef
-	for ref, a := range p.asks {
+	for ref, a := range p.pending {
 		if p.overdue(now, a) {
 			due = append(due, ref)
 		}
 	}
 	slices.SortFunc(due, compareRefs)
 	for _, ref := range due {
-		a := p.asks[ref]
+		a := p.pending[ref]
 		switch {
 		case !a.waiting:
 			a.silent = append(a.silent, a.to)
 			p.askNext(now, a)
 		case p.unanswered(now, a):
 			a.reason, a.retry = ReasonDeadline, p.cfg.ClaimInterval
-			p.giveUp(a)
+			p.rejectPending(a)
 		default:
 			// Repeats the question, in case the owner has lost its queue.
 			a.waiting = false
@@ -425,7 +425,7 @@
 }
 
 // overdue tells whether a host should have been heard of.
-func (p *Placer) overdue(now time.Time, a *ask) bool {
+func (p *Placer) overdue(now time.Time, a *pending) bool {
 	if !a.waiting {
 		return now.Sub(a.sent) >= p.cfg.OwnerTimeout
 	}
@@ -434,6 +434,6 @@
 
 // unanswered tells whether the owner's refusal of a queued request must have been
 // lost.
-func (p *Placer) unanswered(now time.Time, a *ask) bool {
+func (p *Placer) unanswered(now time.Time, a *pending) bool {
 	return !a.req.Wait && now.Sub(a.deadline) >= p.cfg.OwnerTimeout
 }
--- a/pkg/placement/cluster_test.go
+++ b/pkg/placement/cluster_test.go
@@ -18,7 +18,7 @@
 	engines []engine.Info
 	placers map[ident.HostID]*placement.Placer
 	stopped map[ident.HostID]bool
-	mail    []letter
+	sent    []packet
 	cut     func(from, to ident.HostID, m placement.Message) bool
 	rng     *rand.Rand // when set, messages are lost, repeated and delayed
 	booked  map[ident.BackendRef][]placement.Booking
@@ -26,7 +26,7 @@
 	cancels []placement.Cancel
 }
 
-type letter struct {
+type packet struct {
 	from, to ident.HostID
 	message  placement.Message
 	at       time.Time
@@ -136,7 +136,7 @@
 			continue
 		}
 		for range c.copies() {
-			c.mail = append(c.mail, letter{from, e.To, e.Message, c.now.Add(c.delay())})
+			c.sent = append(c.sent, packet{from, e.To, e.Message, c.now.Add(c.delay())})
 		}
 	}
 }
@@ -176,8 +176,8 @@
 }
 
 func (c *cluster) deliver() {
-	due := slices.Clone(c.mail)
-	c.mail = slices.DeleteFunc(c.mail, func(l letter) bool { return !l.at.After(c.now) })
+	due := slices.Clone(c.sent)
+	c.sent = slices.DeleteFunc(c.sent, func(l packet) bool { return !l.at.After(c.now) })
 	for _, l := range due {
 		if !l.at.After(c.now) && !c.stopped[l.to] && c.placers[l.to] != nil {
 			c.take(l.to, c.placers[l.to].Receive(c.now, l.from, l.message))
--- a/pkg/placement/engine.go
+++ b/pkg/placement/engine.go
@@ -25,7 +25,7 @@
 	jobs      []*booking // prefills not known to have ended, in order
 	headSince time.Time  // when the first of jobs became first
 	slots     map[ident.BackendRef]*booking
-	strays    int // requests held without a booking
+	unbooked  int // requests held without a booking
 	linkUntil time.Time
 	cache     prefixCache
 	prefill   rate // seconds per prompt token
@@ -51,7 +51,7 @@
 }
 
 func (e *engineState) free() int {
-	return e.info.Slots - len(e.slots) - e.strays
+	return e.info.Slots - len(e.slots) - e.unbooked
 }
 
 // takesPrefill tells whether the engine may hold one more prompt.
--- a/pkg/placement/failure_test.go
+++ b/pkg/placement/failure_test.go
@@ -53,10 +53,10 @@
 	})
 
 	It("returns the booking of an owner whose answer came after the stand-in's", func() {
-		var held []letter
+		var held []packet
 		c.cut = func(from, to ident.HostID, m placement.Message) bool {
 			if from == owner.Host && m.Booked != nil {
-				held = append(held, letter{from, to, m, c.now})
+				held = append(held, packet{from, to, m, c.now})
 				return true
 			}
 			return false
@@ -65,7 +65,7 @@
 		c.run(100 * time.Millisecond)
 		Expect(c.booked[r.Ref]).To(HaveLen(1))
 		c.cut = nil
-		c.mail = append(c.mail, held...)
+		c.sent = append(c.sent, held...)
 		c.run(50 * time.Millisecond)
 		Expect(c.booked[r.Ref]).To(HaveLen(1))
 		Expect(c.free(owner)).To(Equal(20))
@@ -224,7 +224,7 @@
 		c.prefilled(client, r.Ref)
 		stalled := c.booked[r.Ref][0].Decode
 		c.take(client.Host, c.at(client).MoveDecode(c.now, r.Ref))
-		c.mail = append(c.mail, c.mail...) // repeated on the way
+		c.sent = append(c.sent, c.sent...) // repeated on the way
 		c.run(50 * time.Millisecond)
 		Expect(c.booked[r.Ref]).To(HaveLen(2))
 		moved := c.booked[r.Ref][1]
--- a/pkg/placement/handover.go
+++ b/pkg/placement/handover.go
@@ -105,9 +105,9 @@
 // moveRequests tells new owners of this host's bookings, and then asks again for
 // requests whose host is gone.
 func (p *Placer) moveRequests(now time.Time) {
-	p.registerHolds(now)
-	for _, ref := range sortedKeys(p.asks, compareRefs) {
-		a := p.asks[ref]
+	p.registerLeases(now)
+	for _, ref := range sortedKeys(p.pending, compareRefs) {
+		a := p.pending[ref]
 		if p.gone(ident.Process{Host: a.to}, a.pool) {
 			a.silent = nil
 			p.askNext(now, a)
@@ -128,12 +128,12 @@
 	return !h.Live || q.Incarnation != 0 && q.Incarnation != h.Process.Incarnation
 }
 
-// registerHolds sends this host's bookings to owners that cannot know them: the
+// registerLeases sends this host's bookings to owners that cannot know them: the
 // owner that made them is gone or has handed the pool over, or there was none.
-func (p *Placer) registerHolds(now time.Time) {
+func (p *Placer) registerLeases(now time.Time) {
 	moved := map[Pool]*Handover{}
-	for _, ref := range sortedKeys(p.holds, compareRefs) {
-		h := p.holds[ref]
+	for _, ref := range sortedKeys(p.leases, compareRefs) {
+		h := p.leases[ref]
 		owner := p.ownerOf(h.pool)
 		if owner == "" || h.owner.Host == owner && !p.gone(h.owner, h.pool) {
 			continue
@@ -154,7 +154,7 @@
 	}
 }
 
-func (h *hold) held(now time.Time, self ident.Process) Held {
+func (h *lease) held(now time.Time, self ident.Process) Held {
 	return Held{
 		Ref:          h.booking.Ref,
 		Round:        h.round,
@@ -178,12 +178,12 @@
 	for _, pl := range p.sortedPools() {
 		p.handOver(now, pl)
 	}
-	for _, ref := range sortedKeys(p.asks, compareRefs) {
-		if a := p.asks[ref]; a.to == p.cfg.Self.Host {
+	for _, ref := range sortedKeys(p.pending, compareRefs) {
+		if a := p.pending[ref]; a.to == p.cfg.Self.Host {
 			p.askNext(now, a)
 		}
 	}
-	p.registerHolds(now)
+	p.registerLeases(now)
 	return p.finish(now)
 }
 
@@ -198,22 +198,22 @@
 	p.inbox = nil
 	p.tracker.Resumed(now)
 	p.adoptPools(now)
-	for _, ref := range sortedKeys(p.holds, compareRefs) {
-		if h := p.holds[ref]; !h.prefilled {
-			p.voidHold(h, ReasonLeaseVoid, minRetryAfter)
+	for _, ref := range sortedKeys(p.leases, compareRefs) {
+		if h := p.leases[ref]; !h.prefilled {
+			p.voidLease(h, ReasonLeaseVoid, minRetryAfter)
 		}
 	}
-	p.resumeAsks(now)
+	p.resumePending(now)
 	return p.finish(now)
 }
 
-// resumeAsks asks again for the requests that can still meet their target.
-func (p *Placer) resumeAsks(now time.Time) {
-	for _, ref := range sortedKeys(p.asks, compareRefs) {
-		a := p.asks[ref]
+// resumePending asks again for the requests that can still meet their target.
+func (p *Placer) resumePending(now time.Time) {
+	for _, ref := range sortedKeys(p.pending, compareRefs) {
+		a := p.pending[ref]
 		if !a.req.Wait && !now.Before(a.deadline) {
 			a.reason, a.retry = ReasonDeadline, minRetryAfter
-			p.giveUp(a)
+			p.rejectPending(a)
 			continue
 		}
 		a.silent = nil
--- a/pkg/placement/local.go
+++ b/pkg/placement/local.go
@@ -10,7 +10,7 @@
 // chooseLocally books without an owner: two random engines of each role, and of
 // these the one with less of this host's own work in flight. Other hosts may pick
 // the same engine; it refuses what it cannot hold.
-func (p *Placer) chooseLocally(now time.Time, a *ask) {
+func (p *Placer) chooseLocally(now time.Time, a *pending) {
 	a.pool = a.tried[0]
 	engines := p.fleet.pools[a.pool]
 	for _, v := range tiers(a.req.wanted(), engines) {
@@ -27,11 +27,11 @@
 			a.reason = ReasonNoEngine
 		}
 	}
-	p.giveUp(a)
+	p.rejectPending(a)
 }
 
 // inTime tells whether an idle engine could still meet the target.
-func (p *Placer) inTime(now time.Time, a *ask) bool {
+func (p *Placer) inTime(now time.Time, a *pending) bool {
 	tokens := float64(a.req.PromptTokens + a.req.Offset)
 	work := time.Duration(tokens * float64(p.cfg.PrefillPerToken))
 	return a.req.Wait || !now.Add(work+p.cfg.DecodePerToken).After(a.deadline)
@@ -60,9 +60,9 @@
 	return fit[at], true
 }
 
-func (p *Placer) bookLocally(now time.Time, a *ask, prefill, decode engine.Info) {
-	p.dropAsk(a)
-	p.hold(now, &hold{
+func (p *Placer) bookLocally(now time.Time, a *pending, prefill, decode engine.Info) {
+	p.dropPending(a)
+	p.addLease(&lease{
 		booking: Booking{Ref: a.req.Ref, Prefill: prefill, Decode: decode, Local: true},
 		req:     a.req,
 		pool:    a.pool,
--- a/pkg/placement/move.go
+++ b/pkg/placement/move.go
@@ -13,7 +13,7 @@
 // or a Refusal that ends the booking. A call without an answer may be repeated.
 func (p *Placer) MoveDecode(now time.Time, ref ident.BackendRef) Result {
 	p.begin(now)
-	h := p.holds[ref]
+	h := p.leases[ref]
 	switch {
 	case h == nil:
 	case h.owner.Host == "":
@@ -29,20 +29,20 @@
 }
 
 // moveLocally chooses the other engine without an owner.
-func (p *Placer) moveLocally(now time.Time, h *hold) {
+func (p *Placer) moveLocally(now time.Time, h *lease) {
 	r := h.req
 	r.Exclude = append([]ident.BackendID{h.booking.Decode.ID}, r.Exclude...)
 	d, ok := p.pickLocal(now, r, p.fleet.pools[h.pool], h.booking.Prefill.Version, engine.Decode)
 	if !ok {
-		p.voidHold(h, ReasonNoEngine, minRetryAfter)
+		p.voidLease(h, ReasonNoEngine, minRetryAfter)
 		return
 	}
-	p.moveHold(h, d)
+	p.moveLease(h, d)
 }
 
-// moveHold gives the node the booking with its new decode engine.
-func (p *Placer) moveHold(h *hold, d engine.Info) {
-	p.landed(h.booking.Decode.ID)
+// moveLease gives the node the booking with its new decode engine.
+func (p *Placer) moveLease(h *lease, d engine.Info) {
+	p.endCall(h.booking.Decode.ID)
 	p.inFlight[d.ID]++
 	h.booking.Decode = d
 	h.moving = false
@@ -50,16 +50,16 @@
 }
 
 // onMoved takes the owner's answer to a Move.
-func (p *Placer) onMoved(h *hold, m *Booked) {
+func (p *Placer) onMoved(h *lease, m *Booked) {
 	if !h.moving || m.Round != h.round {
 		return
 	}
 	d, ok := p.resolve(m.Decode, m.Version, h.req)
 	if !ok {
-		p.voidHold(h, ReasonRecalled, minRetryAfter)
+		p.voidLease(h, ReasonRecalled, minRetryAfter)
 		return
 	}
-	p.moveHold(h, d)
+	p.moveLease(h, d)
 }
 
 // onMove books another decode engine of the same version, as owner.
@@ -77,7 +77,7 @@
 	w := wanted{versions: []ident.Version{v}, exclude: []ident.BackendID{b.decode.info.ID}}
 	d := pl.bestDecode(p, now, w, v, now)
 	if d == nil {
-		p.refuseMove(from, m, pl.hold.of(1/float64(max(1, pl.capacity(p, now).slots))))
+		p.refuseMove(from, m, pl.slotTime.of(1/float64(max(1, pl.capacity(p, now).slots))))
 		return
 	}
 	delete(b.decode.slots, b.ref)
--- a/pkg/placement/owner.go
+++ b/pkg/placement/owner.go
@@ -149,11 +149,23 @@
 	if pl.queue.Len() == 0 {
 		return
 	}
+	skipped := 0
 	pl.queue.Scan(func(it fairqueue.Item[ident.BackendRef, *ticket]) fairqueue.Decision {
-		return p.tryBook(now, pl, it.Value)
+		d := p.tryBook(now, pl, it.Value)
+		if d == fairqueue.Skip {
+			skipped++
+		}
+		if skipped > maxSkipped {
+			return fairqueue.Stop
+		}
+		return d
 	})
 }
 
+// maxSkipped bounds the organisations that one dispatch passes over because their
+// first request waits for a certain engine. It bounds the time of a dispatch.
+const maxSkipped = 128
+
 func (p *Placer) tryBook(now time.Time, pl *pool, t *ticket) fairqueue.Decision {
 	c := pl.capacity(p, now)
 	if c.free == 0 || c.prefill == 0 || c.least > p.cfg.PrefillAhead {
@@ -275,7 +287,7 @@
 		return
 	}
 	pl.queue.Charge(b.organisation, float64(output-b.maxTokens))
-	pl.hold.observe(now.Sub(b.at), 1)
+	pl.slotTime.observe(now.Sub(b.at), 1)
 }
 
 // usable tells whether an engine may get new work of a request now.
@@ -285,15 +297,22 @@
 
 // sweep refuses queued requests that can no longer meet their target.
 func (p *Placer) sweep(now time.Time, pl *pool) {
+	if pl.queue.Len() == 0 {
+		return
+	}
 	var late []ident.BackendRef
 	least := pl.capacity(p, now).least
+	slowest := pl.slowestPrefill()
 	pl.queue.Each(func(it fairqueue.Item[ident.BackendRef, *ticket]) {
-		t := it.Value
-		if t.book.Wait {
+		b := &it.Value.book
+		if b.Wait {
 			return
 		}
-		best := least + pl.leastWork(p, now, &t.book) + p.scorer.transfer(&t.book) + p.cfg.DecodePerToken
-		if now.Add(best).After(t.deadline) {
+		left := it.Value.deadline.Sub(now) - least - p.scorer.transfer(b) - p.cfg.DecodePerToken
+		if left >= seconds(slowest*float64(b.prompt())) {
+			return // in time on any engine, without a look at each
+		}
+		if left < pl.leastWork(p, now, b) {
 			late = append(late, it.Key)
 		}
 	})
--- a/pkg/placement/owner_test.go
+++ b/pkg/placement/owner_test.go
@@ -29,7 +29,7 @@
 
 	It("books once when Book and its answer are repeated", func() {
 		c.book(client, r)
-		c.mail = append(c.mail, c.mail...)
+		c.sent = append(c.sent, c.sent...)
 		c.run(100 * time.Millisecond)
 		Expect(c.booked[r.Ref]).To(HaveLen(1))
 		Expect(c.free(owner)).To(Equal(19))
@@ -37,11 +37,11 @@
 
 	It("does not book again when a Book arrives after the release", func() {
 		c.book(client, r)
-		late := c.mail
+		late := c.sent
 		c.run(50 * time.Millisecond)
 		c.release(client, r.Ref)
 		c.run(50 * time.Millisecond)
-		c.mail = append(c.mail, late...)
+		c.sent = append(c.sent, late...)
 		c.run(50 * time.Millisecond)
 		Expect(c.free(owner)).To(Equal(20))
 	})
--- a/pkg/placement/placer.go
+++ b/pkg/placement/placer.go
@@ -31,8 +31,8 @@
 	tracker  *reclaim.Tracker
 
 	// Client side.
-	asks     map[ident.BackendRef]*ask
-	holds    map[ident.BackendRef]*hold
+	pending  map[ident.BackendRef]*pending
+	leases   map[ident.BackendRef]*lease
 	calls    map[ident.BackendRef]ident.BackendID // plain services
 	inFlight map[ident.BackendID]int              // this host's work
 	owned    func(ident.BackendRef) bool
@@ -53,8 +53,8 @@
 		free:     map[Pool]int{},
 		pools:    map[Pool]*pool{},
 		released: newReleased(cfg.ReleasedTTL),
-		asks:     map[ident.BackendRef]*ask{},
-		holds:    map[ident.BackendRef]*hold{},
+		pending:  map[ident.BackendRef]*pending{},
+		leases:   map[ident.BackendRef]*lease{},
 		calls:    map[ident.BackendRef]ident.BackendID{},
 		inFlight: map[ident.BackendID]int{},
 	}
@@ -130,7 +130,7 @@
 // Tick advances timers. It must be called at least a few times per OwnerTimeout.
 func (p *Placer) Tick(now time.Time) Result {
 	p.begin(now)
-	p.tickAsks(now)
+	p.tickPending(now)
 	for _, pl := range p.sortedPools() {
 		p.tickPool(now, pl)
 	}
@@ -250,5 +250,5 @@
 
 // Idle tells whether this host has neither undecided requests nor bookings.
 func (p *Placer) Idle() bool {
-	return len(p.asks) == 0 && len(p.holds) == 0 && len(p.calls) == 0
+	return len(p.pending) == 0 && len(p.leases) == 0 && len(p.calls) == 0
 }
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -15,13 +15,13 @@
 	key     Pool
 	engines map[ident.BackendID]*engineState
 	order   []*engineState // by id
-	// described caches infos; nil after a change.
-	described []engine.Info
+	// infoCache caches infos; nil after a change.
+	infoCache []engine.Info
 	queue     *fairqueue.Queue[ident.BackendRef, *ticket]
 	bookings  map[ident.BackendRef]*booking
 
-	hold    rate // seconds that a decode slot is held, per request
-	perCost rate // seconds of prefill per token charged
+	slotTime rate // seconds that a decode slot is held, per request
+	perCost  rate // seconds of prefill per token charged
 
 	// actingUntil is set while this host books in place of an owner that did
 	// not answer.
@@ -35,7 +35,7 @@
 		engines:  map[ident.BackendID]*engineState{},
 		queue:    fairqueue.New[ident.BackendRef, *ticket](cfg.FairBurst),
 		bookings: map[ident.BackendRef]*booking{},
-		hold:     newRate(hold, priorRequests, keepHold),
+		slotTime: newRate(hold, priorRequests, keepHold),
 		perCost:  rate{keep: keepHold},
 	}
 }
@@ -52,7 +52,7 @@
 			pl.engines[info.ID] = newEngineState(cfg, info)
 		}
 	}
-	pl.described = nil
+	pl.infoCache = nil
 	var gone []ident.BackendID
 	for _, e := range pl.order {
 		if id := e.listed.ID; !listed[id] {
@@ -70,12 +70,12 @@
 
 // infos returns the effective descriptions of the engines.
 func (pl *pool) infos() []engine.Info {
-	if pl.described == nil {
+	if pl.infoCache == nil {
 		for _, e := range pl.order {
-			pl.described = append(pl.described, e.info)
+			pl.infoCache = append(pl.infoCache, e.info)
 		}
 	}
-	return pl.described
+	return pl.infoCache
 }
 
 // insert enters a booking into the books of both engines.
@@ -148,7 +148,7 @@
 	queued := pl.perCost.of(ahead.Cost)
 	wait := max(c.least, (c.backlog+queued)/time.Duration(c.prefill))
 	if short := ahead.Items + 1 - float64(c.free); short > 0 {
-		wait = max(wait, pl.hold.of(short/float64(c.slots)))
+		wait = max(wait, pl.slotTime.of(short/float64(c.slots)))
 	}
 	return wait + work + p.scorer.transfer(b) + p.cfg.DecodePerToken
 }
@@ -167,3 +167,14 @@
 	}
 	return least
 }
+
+// slowestPrefill returns the highest time per token of the engines, in seconds.
+func (pl *pool) slowestPrefill() float64 {
+	slowest := 0.0
+	for _, e := range pl.order {
+		if e.info.Role == engine.Prefill {
+			slowest = max(slowest, e.prefill.perUnit())
+		}
+	}
+	return slowest
+}
--- a/pkg/placement/recall.go
+++ b/pkg/placement/recall.go
@@ -19,8 +19,8 @@
 		p.revokeBookings(now, pl)
 		p.dispatch(now, pl)
 	}
-	p.recallHolds(now)
-	p.recallAsks()
+	p.recallLeases(now)
+	p.recallPending()
 	return p.finish(now)
 }
 
@@ -62,25 +62,25 @@
 	return e != nil && p.filter.recalled(e.info)
 }
 
-// recallHolds ends this host's own bookings on the batch. It does not rely on the
+// recallLeases ends this host's own bookings on the batch. It does not rely on the
 // owner, which may be partitioned from the configuration.
-func (p *Placer) recallHolds(now time.Time) {
-	for _, ref := range sortedKeys(p.holds, compareRefs) {
-		h := p.holds[ref]
+func (p *Placer) recallLeases(now time.Time) {
+	for _, ref := range sortedKeys(p.leases, compareRefs) {
+		h := p.leases[ref]
 		recalled := func(e engine.Info) bool { return p.filter.recalled(e) }
 		if p.filter.adapterRecalled(h.req.Adapter) || recalled(h.booking.Prefill) || recalled(h.booking.Decode) {
-			p.voidHold(h, ReasonRecalled, minRetryAfter)
+			p.voidLease(h, ReasonRecalled, minRetryAfter)
 		}
 	}
 }
 
-// recallAsks refuses this host's undecided requests that no pool may take.
-func (p *Placer) recallAsks() {
-	for _, ref := range sortedKeys(p.asks, compareRefs) {
-		a := p.asks[ref]
+// recallPending refuses this host's undecided requests that no pool may take.
+func (p *Placer) recallPending() {
+	for _, ref := range sortedKeys(p.pending, compareRefs) {
+		a := p.pending[ref]
 		if _, ok := p.homePool(a.req); !ok {
 			a.reason, a.retry = p.whyNone(a.req), p.cfg.DownTime
-			p.giveUp(a)
+			p.rejectPending(a)
 		}
 	}
 }
--- a/pkg/placement/recall_test.go
+++ b/pkg/placement/recall_test.go
@@ -119,7 +119,7 @@
 		ref := ident.BackendRef{Request: ident.NewRequestID(client, 100), Attempt: 1}
 		c.prefilled(client, ref)
 		c.recall(owner, bad)
-		c.mail = nil
+		c.sent = nil
 		c.now = c.now.Add(5 * time.Second)
 		c.take(client.Host, c.at(client).Resumed(c.now))
 		c.recall(client, bad)
--- a/pkg/placement/report.go
+++ b/pkg/placement/report.go
@@ -7,9 +7,9 @@
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 )
 
-// strayAge is how long after its release a request may still appear in reports
+// unbookedAge is how long after its release a request may still appear in reports
 // before it counts as held. Reports lag.
-const strayAge = 300 * time.Millisecond
+const unbookedAge = 300 * time.Millisecond
 
 // hintPause is how long a report protects an engine from hints of other hosts, so
 // that one host with a broken network cannot take engines out of use.
@@ -45,7 +45,7 @@
 			p.reconcile(now, pl, e, r)
 		}
 		if e.info != before {
-			pl.described = nil
+			pl.infoCache = nil
 			p.recheckQueue(now, pl)
 		}
 		p.dispatch(now, pl)
@@ -56,7 +56,7 @@
 // reconcile compares the booked slots with the requests that the engine holds.
 func (p *Placer) reconcile(now time.Time, pl *pool, e *engineState, r engine.Report) {
 	held := make(map[ident.BackendRef]bool, len(r.Held))
-	e.strays = 0
+	e.unbooked = 0
 	for _, h := range r.Held {
 		held[h.Ref] = true
 		p.observeHeld(now, pl, e, h)
@@ -71,7 +71,7 @@
 		}
 	}
 	// An engine may count requests that it does not list.
-	e.strays = max(e.strays, r.Running+r.Queued-max(len(r.Held), len(e.slots)))
+	e.unbooked = max(e.unbooked, r.Running+r.Queued-max(len(r.Held), len(e.slots)))
 }
 
 // observeHeld matches one held request with its booking. A request without one
@@ -79,7 +79,7 @@
 func (p *Placer) observeHeld(now time.Time, pl *pool, e *engineState, h engine.HeldRequest) {
 	if b, ok := pl.bookings[h.Ref]; ok {
 		if b.decode != e && b.moved {
-			e.strays++ // a stalled transfer, until it is cancelled
+			e.unbooked++ // a stalled transfer, until it is cancelled
 			return
 		}
 		if b.decode != e {
@@ -93,8 +93,8 @@
 		return
 	}
 	if age, ok := p.released.since(now, h.Ref); ok {
-		if age > strayAge {
-			e.strays++
+		if age > unbookedAge {
+			e.unbooked++
 		}
 		return
 	}
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -32,12 +32,12 @@
 func (p *Placer) releaseService(ref ident.BackendRef) {
 	if id, ok := p.calls[ref]; ok {
 		delete(p.calls, ref)
-		p.landed(id)
+		p.endCall(id)
 	}
 }
 
-// landed notes the end of one piece of this host's work at a backend server.
-func (p *Placer) landed(id ident.BackendID) {
+// endCall notes the end of one piece of this host's work at a backend server.
+func (p *Placer) endCall(id ident.BackendID) {
 	if p.inFlight[id]--; p.inFlight[id] <= 0 {
 		delete(p.inFlight, id)
 	}
