--- a/internal/baseline/ideal.go
+++ b/internal/baseline/ideal.go
@@ -21,7 +21,7 @@
 
 func newIdeal(s *sim) *ideal {
 	i := &ideal{sim: s, pending: map[ident.BackendID]int{}, promise: map[*job]ident.BackendID{}}
-	s.every(time.Millisecond, s.o.Duration+time.Minute, i.dispatch)
+	s.every(time.Millisecond, s.running, i.dispatch)
 	return i
 }
 
@@ -96,3 +96,5 @@
 }
 
 func (*ideal) unreachable(int, ident.BackendID) {}
+
+func (*ideal) hostDead(int) {}
--- a/internal/baseline/sim.go
+++ b/internal/baseline/sim.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/mulberrystream/mulberrystream/pkg/engine"
@@ -19,7 +20,9 @@
 	Decode   int // engines
 	Duration time.Duration
 	Seed     uint64
+	Limit    bool        // the greedy organisation is held to its rate in front
 	Lose     engine.Role // role of the engine that dies in mid-run, or ""
+	LoseHost bool        // the owner of the pool dies in mid-run
 }
 
 // DefaultOptions is the pool of the current scale: 12 engines behind 8 hosts.
@@ -74,6 +77,7 @@
 // simHost is an entry host with what the node would keep.
 type simHost struct {
 	process ident.Process
+	dead    bool
 	budget  *retry.Budget
 	jobs    map[ident.BackendRef]*job
 }
@@ -84,6 +88,7 @@
 	prefillDone(h int, j *job)
 	release(h int, j *job, output int)
 	unreachable(h int, id ident.BackendID)
+	hostDead(h int) // membership has noticed
 }
 
 // sim is one run.
@@ -96,7 +101,10 @@
 	order   []*fakeEngine
 	policy  policy
 	records []*Record
+	open    int           // requests without an end
 	useful  time.Duration // prefill time of completed requests
+	lost    time.Duration // prefill time of requests that died with their host
+	orphans time.Duration // until engines had dropped the dead host's streams
 }
 
 // Run plays the workload against a policy.
@@ -120,16 +128,50 @@
 	for n, a := range arrivals(o) {
 		r := &Record{At: a.at, Tenant: a.tenant.name, Output: a.output}
 		s.records = append(s.records, r)
+		s.open++
 		j := &job{arrival: a, n: n, record: r}
 		s.at(a.at, func() { s.start(j) })
 	}
 	if o.Lose != "" {
 		s.at(o.Duration/2, func() { s.engines[engineID(o.Lose, 0)].kill() })
 	}
+	if o.LoseHost {
+		s.at(o.Duration/2, s.killOwner)
+	}
 	s.run()
 	return s.summary()
 }
 
+// killOwner stops the host that owns the pool. Membership notices 3 s later.
+func (s *sim) killOwner() {
+	var ids []ident.HostID
+	for _, h := range s.hosts {
+		ids = append(ids, h.process.Host)
+	}
+	owner := ident.Owner("pool/"+string(model)+"/"+string(domain), ids)
+	n := slices.Index(ids, owner)
+	h := s.hosts[n]
+	h.dead = true
+	for _, j := range h.jobs {
+		j.record.Lost = true
+		s.lost += j.spent
+		s.open--
+	}
+	s.after(3*time.Second, func() { s.policy.hostDead(n) })
+	s.every(50*time.Millisecond, s.running, func() { s.watchOrphans(h.process) })
+}
+
+// watchOrphans notes whether an engine still holds streams of a dead process.
+func (s *sim) watchOrphans(p ident.Process) {
+	for _, e := range s.order {
+		for _, st := range e.streams {
+			if owner, _ := st.ref.Request.Owner(); owner == p {
+				s.orphans = s.now - s.o.Duration/2
+			}
+		}
+	}
+}
+
 func engineID(r engine.Role, n int) ident.BackendID {
 	return ident.BackendID(fmt.Sprintf("%s-%d", r, n))
 }
@@ -141,6 +183,9 @@
 	s.order = append(s.order, e)
 }
 
+// running tells whether requests are still to come or open.
+func (s *sim) running() bool { return s.now < s.o.Duration || s.open > 0 }
+
 // clock returns the virtual time as the Placers see it.
 func (s *sim) clock() time.Time { return wallStart.Add(s.now) }
 
@@ -150,6 +195,9 @@
 }
 
 func (s *sim) start(j *job) {
+	if s.hosts[j.host].dead { // the load balancer takes another host
+		j.host = (j.host + 1) % len(s.hosts)
+	}
 	h := s.hosts[j.host]
 	if j.attempt == 0 {
 		h.budget.First(s.clock())
@@ -167,6 +215,7 @@
 
 func (s *sim) refused(j *job) {
 	delete(s.hosts[j.host].jobs, j.ref(s.hosts[j.host].process))
+	s.open--
 	if j.attempt == 1 {
 		j.record.Refused = true
 	} else {
@@ -176,7 +225,6 @@
 
 // booked runs prefill, import and decode of one attempt.
 func (s *sim) booked(j *job, prefill, decode ident.BackendID) {
-	attempt := j.attempt
 	call := &prefillCall{
 		ref:    j.ref(s.hosts[j.host].process),
 		tokens: j.prompt + j.offset,
@@ -184,7 +232,8 @@
 	}
 	call.end = func(o outcome, spent time.Duration) {
 		s.net(func() {
-			if j.attempt != attempt {
+			if j.record.Lost {
+				s.lost += spent
 				return
 			}
 			j.spent = spent
@@ -211,11 +260,13 @@
 	}
 	st.end = func(o outcome, sent int) {
 		s.net(func() {
-			if o != done {
+			switch {
+			case j.record.Lost:
+			case o != done:
 				s.retry(j, id, o, sent)
-				return
+			default:
+				s.complete(j, sent)
 			}
-			s.complete(j, sent)
 		})
 	}
 	s.net(func() { s.engines[id].decode(j.prompt+j.offset, st) })
@@ -223,6 +274,7 @@
 
 func (s *sim) complete(j *job, sent int) {
 	s.useful += j.spent
+	s.open--
 	s.end(j, sent)
 	r := j.record
 	r.Done = true
@@ -241,6 +293,7 @@
 	j.exclude = append(j.exclude, id)
 	if !s.hosts[j.host].budget.Allow(s.clock(), int(j.attempt)-1) {
 		j.record.Failed = true
+		s.open--
 		return
 	}
 	j.record.Retries++
--- a/pkg/placement/handover.go
+++ b/pkg/placement/handover.go
@@ -10,7 +10,7 @@
 // adoptPools creates the state of pools that this host owns now, so that their
 // engines are polled before the first request.
 func (p *Placer) adoptPools(now time.Time) {
-	for _, key := range p.poolOrder {
+	for _, key := range p.fleet.order {
 		if key.Domain == p.cfg.Domain && p.ownerOf(key) == p.cfg.Self.Host {
 			p.pool(key)
 		}
@@ -102,36 +102,44 @@
 	p.tracker.Renew(now, h.Ref)
 }
 
-// moveRequests asks again for requests whose host is gone, and tells new owners
-// of this host's bookings.
+// moveRequests tells new owners of this host's bookings, and then asks again for
+// requests whose host is gone.
 func (p *Placer) moveRequests(now time.Time) {
-	for _, ref := range sortedKeys(p.asks, compareRefs) {
-		a := p.asks[ref]
-		if a.to != p.cfg.Self.Host && !p.reachable(a.to) {
+	p.registerLeases(now)
+	for _, ref := range sortedKeys(p.pending, compareRefs) {
+		a := p.pending[ref]
+		if p.gone(ident.Process{Host: a.to}, a.pool) {
 			a.silent = nil
 			p.askNext(now, a)
 		}
 	}
-	p.registerHolds(now)
 }
 
-func (p *Placer) reachable(id ident.HostID) bool {
-	h, ok := p.hosts[id]
-	return ok && h.Live
+// gone tells whether a process that answered for a pool does not run any more.
+// Only of the own domain does this host know every host.
+func (p *Placer) gone(q ident.Process, key Pool) bool {
+	if q.Host == p.cfg.Self.Host {
+		return false
+	}
+	h, known := p.hosts[q.Host]
+	if !known {
+		return key.Domain == p.cfg.Domain
+	}
+	return !h.Live || q.Incarnation != 0 && q.Incarnation != h.Process.Incarnation
 }
 
-// registerHolds sends this host's bookings to the owners that cannot know them:
-// the owner that made them is gone, or it has restarted.
-func (p *Placer) registerHolds(now time.Time) {
+// registerLeases sends this host's bookings to owners that cannot know them: the
+// owner that made them is gone or has handed the pool over, or there was none.
+func (p *Placer) registerLeases(now time.Time) {
 	moved := map[Pool]*Handover{}
-	for _, ref := range sortedKeys(p.holds, compareRefs) {
-		h := p.holds[ref]
+	for _, ref := range sortedKeys(p.leases, compareRefs) {
+		h := p.leases[ref]
 		owner := p.ownerOf(h.pool)
-		if owner == "" || h.owner == p.process(owner) {
+		if owner == "" || h.owner.Host == owner && !p.gone(h.owner, h.pool) {
 			continue
 		}
-		if p.reachable(h.owner.Host) && h.owner == p.process(h.owner.Host) && h.pool.Domain != p.cfg.Domain {
-			continue // this host may not know all hosts of the other domain
+		if h.owner.Host != "" && h.pool.Domain != p.cfg.Domain && !p.gone(h.owner, h.pool) {
+			continue
 		}
 		h.owner = p.process(owner)
 		m := moved[h.pool]
@@ -146,7 +154,7 @@
 	}
 }
 
-func (h *hold) held(now time.Time, self ident.Process) Held {
+func (h *lease) held(now time.Time, self ident.Process) Held {
 	return Held{
 		Ref:          h.booking.Ref,
 		Round:        h.round,
@@ -170,12 +178,12 @@
 	for _, pl := range p.sortedPools() {
 		p.handOver(now, pl)
 	}
-	for _, ref := range sortedKeys(p.asks, compareRefs) {
-		if a := p.asks[ref]; a.to == p.cfg.Self.Host {
+	for _, ref := range sortedKeys(p.pending, compareRefs) {
+		if a := p.pending[ref]; a.to == p.cfg.Self.Host {
 			p.askNext(now, a)
 		}
 	}
-	p.registerHolds(now)
+	p.registerLeases(now)
 	return p.finish(now)
 }
 
@@ -190,22 +198,22 @@
 	p.inbox = nil
 	p.tracker.Resumed(now)
 	p.adoptPools(now)
-	for _, ref := range sortedKeys(p.holds, compareRefs) {
-		if h := p.holds[ref]; !h.prefilled {
-			p.voidHold(now, h, ReasonLeaseVoid, minRetryAfter)
+	for _, ref := range sortedKeys(p.leases, compareRefs) {
+		if h := p.leases[ref]; !h.prefilled {
+			p.voidLease(h, ReasonLeaseVoid, minRetryAfter)
 		}
 	}
-	p.resumeAsks(now)
+	p.resumePending(now)
 	return p.finish(now)
 }
 
-// resumeAsks asks again for the requests that can still meet their target.
-func (p *Placer) resumeAsks(now time.Time) {
-	for _, ref := range sortedKeys(p.asks, compareRefs) {
-		a := p.asks[ref]
+// resumePending asks again for the requests that can still meet their target.
+func (p *Placer) resumePending(now time.Time) {
+	for _, ref := range sortedKeys(p.pending, compareRefs) {
+		a := p.pending[ref]
 		if !a.req.Wait && !now.Before(a.deadline) {
 			a.reason, a.retry = ReasonDeadline, minRetryAfter
-			p.giveUp(a)
+			p.rejectPending(a)
 			continue
 		}
 		a.silent = nil
--- a/pkg/placement/message.go
+++ b/pkg/placement/message.go
@@ -17,6 +17,7 @@
 	Query    *ClaimQuery `cbor:"7,keyasint,omitempty"`
 	Reply    *ClaimReply `cbor:"8,keyasint,omitempty"`
 	Handover *Handover   `cbor:"9,keyasint,omitempty"`
+	Move     *Move       `cbor:"10,keyasint,omitempty"`
 }
 
 // Pool identifies the engines of one model in one failure domain.
@@ -46,6 +47,9 @@
 	// Acting asks a host to book although it is not the owner, because the owner
 	// did not answer.
 	Acting bool `cbor:"17,keyasint,omitempty"`
+	// Spills says that another domain has room: the owner refuses a request that
+	// would use up most of its budget in the queue.
+	Spills bool `cbor:"19,keyasint,omitempty"`
 	// Forwarded is set when a host that was not the owner passed the message on.
 	Forwarded bool `cbor:"18,keyasint,omitempty"`
 }
@@ -88,6 +92,12 @@
 	Output int              `cbor:"3,keyasint"` // output tokens; -1: the booking was not used
 }
 
+// Move asks for another decode engine for a booking.
+type Move struct {
+	Ref   ident.BackendRef `cbor:"1,keyasint"`
+	Round uint32           `cbor:"2,keyasint"`
+}
+
 // Held describes a booking to a new owner.
 type Held struct {
 	Ref          ident.BackendRef   `cbor:"1,keyasint"`
--- a/pkg/placement/placer.go
+++ b/pkg/placement/placer.go
@@ -20,11 +20,10 @@
 	fleet  fleet
 	now    time.Time
 
-	hosts     map[ident.HostID]HostView
-	ranks     map[Pool][]ident.HostID // cache, cleared when hosts change
-	poolOrder []Pool                  // of all domains
-	free      map[Pool]int            // of other domains
-	draining  bool
+	hosts    map[ident.HostID]HostView
+	ranks    map[Pool][]ident.HostID // cache, cleared when hosts change
+	free     map[Pool]int            // of other domains
+	draining bool
 
 	// Owner side.
 	pools    map[Pool]*pool
@@ -32,8 +31,8 @@
 	tracker  *reclaim.Tracker
 
 	// Client side.
-	asks     map[ident.BackendRef]*ask
-	holds    map[ident.BackendRef]*hold
+	pending  map[ident.BackendRef]*pending
+	leases   map[ident.BackendRef]*lease
 	calls    map[ident.BackendRef]ident.BackendID // plain services
 	inFlight map[ident.BackendID]int              // this host's work
 	owned    func(ident.BackendRef) bool
@@ -54,8 +53,8 @@
 		free:     map[Pool]int{},
 		pools:    map[Pool]*pool{},
 		released: newReleased(cfg.ReleasedTTL),
-		asks:     map[ident.BackendRef]*ask{},
-		holds:    map[ident.BackendRef]*hold{},
+		pending:  map[ident.BackendRef]*pending{},
+		leases:   map[ident.BackendRef]*lease{},
 		calls:    map[ident.BackendRef]ident.BackendID{},
 		inFlight: map[ident.BackendID]int{},
 	}
@@ -121,6 +120,8 @@
 		p.onQuery(from, *m.Query)
 	case m.Reply != nil:
 		p.onOrphans(now, p.tracker.Receive(now, from, *m.Reply))
+	case m.Move != nil:
+		p.onMove(now, from, m.Move)
 	case m.Handover != nil:
 		p.onHandover(now, m.Handover)
 	}
@@ -129,7 +130,7 @@
 // Tick advances timers. It must be called at least a few times per OwnerTimeout.
 func (p *Placer) Tick(now time.Time) Result {
 	p.begin(now)
-	p.tickAsks(now)
+	p.tickPending(now)
 	for _, pl := range p.sortedPools() {
 		p.tickPool(now, pl)
 	}
@@ -168,7 +169,6 @@
 func (p *Placer) SetEngines(now time.Time, engines []engine.Info) Result {
 	p.begin(now)
 	p.fleet.set(engines)
-	p.poolOrder = sortedKeys(p.fleet.pools, comparePools)
 	for _, pl := range p.sortedPools() {
 		for _, id := range pl.sync(&p.cfg, p.fleet.pools[pl.key]) {
 			p.tracker.Forget(id)
@@ -247,3 +247,8 @@
 }
 
 func compareHosts(a, b ident.HostID) int { return cmp.Compare(a, b) }
+
+// Idle tells whether this host has neither undecided requests nor bookings.
+func (p *Placer) Idle() bool {
+	return len(p.pending) == 0 && len(p.leases) == 0 && len(p.calls) == 0
+}
--- a/pkg/placement/report.go
+++ b/pkg/placement/report.go
@@ -7,9 +7,9 @@
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 )
 
-// strayAge is how long after its release a request may still appear in reports
+// unbookedAge is how long after its release a request may still appear in reports
 // before it counts as held. Reports lag.
-const strayAge = 300 * time.Millisecond
+const unbookedAge = 300 * time.Millisecond
 
 // hintPause is how long a report protects an engine from hints of other hosts, so
 // that one host with a broken network cannot take engines out of use.
@@ -38,21 +38,25 @@
 		if e.suspect {
 			e.suspectAfter = now.Add(hintPause)
 		}
-		restarted := e.apply(r)
+		before := e.info
+		e.apply(r)
 		p.tracker.Observe(now, r.ID, r.Held)
 		if e.info.Role == engine.Decode {
-			p.reconcile(now, pl, e, r, restarted)
+			p.reconcile(now, pl, e, r)
+		}
+		if e.info != before {
+			pl.infoCache = nil
+			p.recheckQueue(now, pl)
 		}
-		p.recheckQueue(now, pl)
 		p.dispatch(now, pl)
 	}
 	return p.finish(now)
 }
 
 // reconcile compares the booked slots with the requests that the engine holds.
-func (p *Placer) reconcile(now time.Time, pl *pool, e *engineState, r engine.Report, restarted bool) {
+func (p *Placer) reconcile(now time.Time, pl *pool, e *engineState, r engine.Report) {
 	held := make(map[ident.BackendRef]bool, len(r.Held))
-	e.strays = max(0, r.Running+r.Queued-len(r.Held))
+	e.unbooked = 0
 	for _, h := range r.Held {
 		held[h.Ref] = true
 		p.observeHeld(now, pl, e, h)
@@ -66,12 +70,18 @@
 			p.tracker.Release(now, ref)
 		}
 	}
+	// An engine may count requests that it does not list.
+	e.unbooked = max(e.unbooked, r.Running+r.Queued-max(len(r.Held), len(e.slots)))
 }
 
 // observeHeld matches one held request with its booking. A request without one
 // was booked by an earlier owner or chosen locally; it takes a slot.
 func (p *Placer) observeHeld(now time.Time, pl *pool, e *engineState, h engine.HeldRequest) {
 	if b, ok := pl.bookings[h.Ref]; ok {
+		if b.decode != e && b.moved {
+			e.unbooked++ // a stalled transfer, until it is cancelled
+			return
+		}
 		if b.decode != e {
 			if b.decode != nil {
 				delete(b.decode.slots, h.Ref)
@@ -83,8 +93,8 @@
 		return
 	}
 	if age, ok := p.released.since(now, h.Ref); ok {
-		if age > strayAge {
-			e.strays++
+		if age > unbookedAge {
+			e.unbooked++
 		}
 		return
 	}
