membership: detect failures by slot digests, and test them

Cause: the first version named hosts in digests by 6-byte entries, at most 32 a heartbeat, relayed summaries to every other peer only, and counted only direct acknowledgements as contact. Change: the digest has 2 bytes per slot and names every host; news of domains goes least relayed first; a digest that names the receiver counts as contact; hosts that others hear are addressed out of turn; messages buffered during a pause are no contact.

--- /dev/null
+++ b/pkg/membership/bench_test.go
@@ -0,0 +1,111 @@
+package membership_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/membership"
+)
+
+// fleet starts a domain of hosts that own the pools of 37 models, and other
+// domains that are represented by a few hosts each.
+func fleet(hosts, domains int, loss float64) (*network, []*process) {
+	n := newNetwork(1)
+	n.loss, n.dup = loss, loss
+	own := n.domain("own", hosts)
+	for d := 1; d < domains; d++ {
+		n.domain(ident.FailureDomain(fmt.Sprintf("domain%02d", d)), 2)
+	}
+	n.list()
+	return n, own
+}
+
+// load gives each host new local values: 37 pools in a domain.
+func (n *network) load(round int) {
+	counts := map[ident.FailureDomain]int{}
+	pools := map[ident.FailureDomain]int{}
+	for _, p := range n.procs {
+		counts[p.domain]++
+	}
+	for _, p := range n.procs {
+		per := max(1, 37/counts[p.domain])
+		l := membership.Local{Revision: 100000, Digest: [32]byte{1}, Ready: true}
+		for range per {
+			if pools[p.domain] < 37 {
+				m := ident.Model(fmt.Sprintf("mulberry-%02d", pools[p.domain]))
+				l.Free = append(l.Free, membership.PoolFree{Model: m, Free: 100 + round%7})
+				pools[p.domain]++
+			}
+		}
+		p.SetLocal(n.now, l)
+	}
+}
+
+// BenchmarkExchange reports, per host of one domain and second of simulated time,
+// messages and bytes, and how long hosts go without news of a live host.
+func BenchmarkExchange(b *testing.B) {
+	for _, c := range []struct {
+		hosts, domains int
+		loss           float64
+	}{{8, 1, 0}, {8, 4, 0}, {8, 19, 0}, {90, 1, 0}, {90, 9, 0}, {90, 19, 0}, {90, 19, 0.1}} {
+		b.Run(fmt.Sprintf("hosts=%d/domains=%d/loss=%v", c.hosts, c.domains, c.loss), func(b *testing.B) {
+			for b.Loop() {
+				exchange(b, c.hosts, c.domains, c.loss)
+			}
+		})
+	}
+}
+
+func exchange(b *testing.B, hosts, domains int, loss float64) {
+	// A round is no multiple of the interval, so that all phases are sampled.
+	const rounds, round = 21, 970 * time.Millisecond
+	n, own := fleet(hosts, domains, loss)
+	n.run(20 * time.Second)
+	for _, p := range own {
+		p.sent, p.got, p.count, p.largest, p.events = 0, 0, 0, 0, nil
+	}
+	var silences []time.Duration
+	unreachable, contactAge := 0, time.Duration(0)
+	begin := time.Now()
+	for r := range rounds {
+		n.load(r)
+		n.run(round)
+		for _, p := range own {
+			v := p.View(n.now)
+			contactAge = max(contactAge, n.now.Sub(p.contact))
+			for _, h := range v.Hosts {
+				silences = append(silences, h.Silent)
+			}
+			for _, d := range v.Domains {
+				if !d.Reachable {
+					unreachable++
+				}
+			}
+		}
+	}
+	sent, got, count, most, largest, dead := 0, 0, 0, 0, 0, 0
+	for _, p := range own {
+		sent, got, count = sent+p.sent, got+p.got, count+p.count
+		most, largest = max(most, p.sent), max(largest, p.largest)
+		d, _ := find[membership.HostDead](p)
+		dead += len(d)
+	}
+	seconds := rounds * round.Seconds()
+	per := float64(hosts) * seconds
+	slices.Sort(silences)
+	b.ReportMetric(float64(sent)/per, "sent-B/s")
+	b.ReportMetric(float64(most)/seconds, "delegate-sent-B/s")
+	b.ReportMetric(float64(got)/per, "received-B/s")
+	b.ReportMetric(float64(count)/per, "messages/s")
+	b.ReportMetric(float64(largest), "largest-B")
+	b.ReportMetric(silences[len(silences)*999/1000].Seconds(), "silence-p99.9-s")
+	b.ReportMetric(silences[len(silences)-1].Seconds(), "silence-max-s")
+	b.ReportMetric(float64(dead), "false-dead")
+	b.ReportMetric(float64(unreachable), "false-unreachable")
+	b.ReportMetric(contactAge.Seconds(), "contact-age-max-s")
+	b.ReportMetric(float64(time.Since(begin).Microseconds())/seconds/float64(len(n.procs)), "cpu-us/host-s")
+	b.ReportMetric(0, "ns/op")
+}
--- a/pkg/membership/config.go
+++ b/pkg/membership/config.go
@@ -19,7 +19,6 @@
 	Fanout       int           // heartbeats per interval; bounds bytes, slows direct contact
 	Delegates    int           // hosts of a domain that talk to other domains
 
-	DigestHosts int // other hosts named in a heartbeat; more detect surer and cost 6 bytes each
 	RelayEvery  int // every n-th heartbeat relays a domain summary; smaller is fresher and larger in bytes
 	SummaryFree int // pools named in one summary; the rest follow in later summaries
 }
@@ -36,8 +35,7 @@
 		DeadAfter:    3 * time.Second,
 		Fanout:       8,
 		Delegates:    2,
-		DigestHosts:  32,
-		RelayEvery:   2,
+		RelayEvery:   1,
 		SummaryFree:  8,
 	}
 }
@@ -76,5 +74,6 @@
 )
 
 // domainSilent is the silence after which another domain counts as unreachable.
-// Summaries take a few heartbeats to spread, so it is longer than DeadAfter.
-func (c Config) domainSilent() time.Duration { return 3 * c.DeadAfter }
+// At 19 domains of 90 hosts news of a domain reaches a host every few seconds,
+// so it is longer than DeadAfter.
+func (c Config) domainSilent() time.Duration { return 4 * c.DeadAfter }
--- a/pkg/membership/delegate.go
+++ b/pkg/membership/delegate.go
@@ -30,14 +30,15 @@
 }
 
 // summaries returns the messages to other domains, if this host is a delegate. At
-// most one fan-out per interval, rotating over the domains.
+// most half a fan-out per interval, rotating over the domains: a delegate also has
+// its heartbeats to send.
 func (g *Group) summaries(now time.Time) []Envelope {
 	own := g.delegates()
 	if !slices.Contains(own, g.cfg.Self.Host) {
 		return nil
 	}
 	d := &g.domains
-	n := min(len(d.order), g.cfg.Fanout)
+	n := min(len(d.order), max(1, g.cfg.Fanout/2))
 	out := make([]Envelope, 0, n)
 	for range n {
 		d.turn %= len(d.order)
@@ -92,11 +93,17 @@
 	if !g.left && !g.local.Leaving {
 		n.Live = 1
 	}
+	silent := g.local.PlatformSilent
 	for _, id := range g.order {
-		if p := g.peers[id]; p.state == Live && !p.isLeaving() {
+		p := g.peers[id]
+		if p.state == Live && !p.isLeaving() {
 			n.Live++
 		}
+		if p.state != Dead {
+			silent = min(silent, p.platformSilent)
+		}
 	}
+	n.PlatformSilent = millis(silent)
 	for _, id := range delegates {
 		addr := g.cfg.Addr
 		if p := g.peers[id]; p != nil {
--- a/pkg/membership/domains.go
+++ b/pkg/membership/domains.go
@@ -27,10 +27,10 @@
 
 // origin is the latest news from one delegate of a domain.
 type origin struct {
-	news    DomainNews
-	at      time.Time
-	relayed bool
-	told    RevisionHeard // last reported
+	news   DomainNews
+	at     time.Time
+	relays int           // times this news was relayed
+	told   RevisionHeard // last reported
 }
 
 type poolNews struct {
@@ -102,7 +102,7 @@
 		}
 		dom.origins = slices.Delete(dom.origins, at, at+1)
 	}
-	o.news, o.at, o.relayed = *n, now, false
+	o.news, o.at, o.relays = *n, now, 0
 	dom.origins = slices.Insert(dom.origins, 0, o)
 	dom.origins = dom.origins[:min(len(dom.origins), maxOrigins)]
 	for _, f := range n.Free {
@@ -111,16 +111,14 @@
 	return o
 }
 
-// relay returns news for a heartbeat: of the domain relayed longest ago that has
-// any not yet relayed. One per heartbeat bounds its size.
-func (d *domains) relay(now time.Time) []DomainNews {
+// relay returns news for a heartbeat: the least relayed, of the domain relayed
+// longest ago. One per heartbeat bounds its size. News goes out more than once,
+// since each time it goes to another peer.
+func (d *domains) relay(now time.Time, silence time.Duration) []DomainNews {
 	var pick *domain
 	for _, name := range d.order {
 		dom := d.byName[name]
-		if len(dom.origins) == 0 || dom.origins[0].relayed {
-			continue
-		}
-		if pick == nil || dom.relayed < pick.relayed {
+		if dom.fresh(now, silence) != nil && (pick == nil || dom.relayedLess(pick)) {
 			pick = dom
 		}
 	}
@@ -129,10 +127,15 @@
 	}
 	d.relays++
 	pick.relayed = d.relays
-	pick.origins[0].relayed = true
+	pick.origins[0].relays++
 	return []DomainNews{pick.origins[0].news}
 }
 
+func (dom *domain) relayedLess(other *domain) bool {
+	a, b := dom.origins[0].relays, other.origins[0].relays
+	return a < b || a == b && dom.relayed < other.relayed
+}
+
 // resumed marks all news as old after a pause.
 func (d *domains) resumed(now time.Time) {
 	for _, dom := range d.byName {
@@ -194,6 +197,7 @@
 	}
 	s.Reachable = !o.news.OneWay
 	s.Revision, s.Live = o.news.Revision, o.news.Live
+	s.PlatformSilent = fromMillis(o.news.PlatformSilent) + now.Sub(o.at)
 	for _, d := range o.news.Delegates {
 		s.Delegates = append(s.Delegates, d.Host)
 	}
--- a/pkg/membership/group.go
+++ b/pkg/membership/group.go
@@ -23,7 +23,7 @@
 
 	peers  map[ident.HostID]*peer
 	order  []ident.HostID // keys of peers, sorted
-	byHash map[uint32]*peer
+	bySlot map[ident.Slot]*peer
 	turn   rotation // next live peers to send to
 	retry  rotation // next dead peers to try
 	slots  map[ident.Slot][]holder
@@ -47,7 +47,7 @@
 		nextBeat: now,
 		announce: announceBeats,
 		peers:    map[ident.HostID]*peer{},
-		byHash:   map[uint32]*peer{},
+		bySlot:   map[ident.Slot]*peer{},
 		slots:    map[ident.Slot][]holder{},
 		domains:  newDomains(),
 	}
@@ -76,7 +76,10 @@
 		p.listed = true
 		p.listLeaving = h.Leaving
 		if p.inc == 0 || p.state == Dead {
-			p.addr, p.slot = h.Addr, h.Slot
+			p.addr = h.Addr
+		}
+		if p.inc == 0 {
+			p.slot = h.Slot
 		}
 		p.noteLeaving(&res)
 	}
@@ -130,9 +133,7 @@
 // Tick detects silent hosts and sends heartbeats when they are due.
 func (g *Group) Tick(now time.Time) Result {
 	var res Result
-	if now.Sub(g.lastTick) > max(pauseGap, 2*g.cfg.Interval) {
-		res = g.Resumed(now)
-	}
+	g.checkPause(now)
 	g.lastTick = now
 	g.detect(now, &res)
 	g.decideReleased(now, &res)
@@ -152,9 +153,19 @@
 	return res
 }
 
+// checkPause resumes after a gap between ticks. Messages that came during a pause
+// are delivered after it, possibly before the first tick, and must not count as
+// contact.
+func (g *Group) checkPause(now time.Time) {
+	if now.Sub(g.lastTick) > max(pauseGap, 2*g.cfg.Interval) {
+		g.Resumed(now)
+	}
+}
+
 // Receive takes a message of a peer.
 func (g *Group) Receive(now time.Time, from ident.HostID, m Message) Result {
 	var res Result
+	g.checkPause(now)
 	switch {
 	case m.Heartbeat != nil:
 		g.receiveHeartbeat(now, from, m.Heartbeat, &res)
--- a/pkg/membership/heartbeat.go
+++ b/pkg/membership/heartbeat.go
@@ -34,26 +34,29 @@
 // targets returns the peers that get the next heartbeat. One place of the
 // fan-out goes to dead hosts, which may be back or only cut off.
 func (g *Group) targets(now time.Time) []ident.HostID {
-	var live, dead []ident.HostID
+	var live, dead, first []ident.HostID
 	for _, id := range g.order {
 		switch p := g.peers[id]; {
 		case p.released, p.addr == "":
-		case p.state == Dead:
-			dead = append(dead, id)
-		default:
+		case p.state != Dead:
 			live = append(live, id)
+		case p.probe && len(first) < g.cfg.Fanout/2:
+			p.probe = false
+			first = append(first, id)
+		default:
+			dead = append(dead, id)
 		}
 	}
-	if len(live)+len(dead) <= g.cfg.Fanout {
-		return append(live, dead...)
+	if len(live)+len(dead)+len(first) <= g.cfg.Fanout {
+		return slices.Concat(live, dead, first)
 	}
-	toDead := min(len(dead), max(1, g.cfg.Fanout-len(live)))
-	out := g.retry.take(g.cfg.Self.Host, dead, toDead)
 	if g.freeChanged(now) {
 		g.freeSent, g.freeAt = g.local.Free, now
-		out = append(out, g.delegates()...)
+		first = append(first, g.delegates()...)
 	}
-	for _, id := range g.turn.take(g.cfg.Self.Host, live, g.cfg.Fanout-len(out)) {
+	toDead := min(len(dead), max(1, g.cfg.Fanout-len(first)-len(live)))
+	out := append(first, g.retry.take(g.cfg.Self.Host, dead, toDead)...)
+	for _, id := range g.turn.take(g.cfg.Self.Host, live, max(1, g.cfg.Fanout-len(out))) {
 		if !slices.Contains(out, id) {
 			out = append(out, id)
 		}
@@ -82,13 +85,14 @@
 
 // beat makes the heartbeats of one interval.
 func (g *Group) beat(now time.Time, to []ident.HostID) []Envelope {
-	digest := g.digest()
+	digest := g.digest(now)
 	out := make([]Envelope, 0, len(to))
 	for i, id := range to {
 		hb := g.heartbeat(now, g.peers[id])
 		hb.Heard = digest
-		if i%g.cfg.RelayEvery == 0 && i < g.cfg.Fanout {
-			hb.Domains = g.domains.relay(now)
+		// The sequence number shifts the choice, so that every peer has its turn.
+		if (int(g.seq)+i)%g.cfg.RelayEvery == 0 && i < g.cfg.Fanout {
+			hb.Domains = g.domains.relay(now, g.cfg.domainSilent())
 		}
 		out = append(out, Envelope{To: id, Message: Message{Heartbeat: hb}})
 	}
@@ -173,12 +177,13 @@
 	if first {
 		g.hearNew(now, p, hb, res)
 	}
-	g.hearAck(now, p, hb.Ack, res)
+	g.hearAck(now, p, hb, res)
 	if hb.Sequence > p.direct {
 		g.hearFields(now, p, hb, res)
 	}
-	if first {
-		// An immediate answer gives a new process contact within one round trip.
+	if first || hb.Ack == nil {
+		// An immediate answer gives a new process, or one that has never heard this
+		// one, contact within one round trip.
 		res.Envelopes = append(res.Envelopes, g.answer(now, p))
 	}
 	g.eachHeard(hb.Heard, func(p *peer, seq uint64) { g.heard(now, p, seq, res) })
@@ -191,8 +196,6 @@
 func (g *Group) hearNew(now time.Time, p *peer, hb *Heartbeat, res *Result) {
 	previous := p.inc
 	g.restart(now, p, hb)
-	p.upAt = now
-	p.slot, p.addr = hb.Slot, hb.Addr
 	if previous == 0 {
 		return // HostUp follows from heard
 	}
@@ -204,7 +207,7 @@
 // hearFields takes what a heartbeat newer than all direct ones says of its sender.
 func (g *Group) hearFields(now time.Time, p *peer, hb *Heartbeat, res *Result) {
 	p.direct, p.directAt = hb.Sequence, now
-	p.slot, p.addr = hb.Slot, hb.Addr
+	p.addr = hb.Addr
 	p.leaving = hb.Flags&FlagLeaving != 0
 	p.ready = hb.Flags&FlagReady != 0
 	p.platformSilent = fromMillis(hb.PlatformSilent)
@@ -239,9 +242,12 @@
 	res.Events = append(res.Events, RevisionHeard{From: p.host, Revision: r, Digest: d})
 }
 
-// hearAck takes an acknowledgement. Contact counts only when the peer knows no
-// newer process in this one's place.
-func (g *Group) hearAck(now time.Time, p *peer, a *Ack, res *Result) {
+// hearAck takes an acknowledgement. It counts as contact only when the peer knows
+// no newer process in this one's place. In a large domain the direct ones are as
+// old as the rotation, so that the peer's digest counts too: it shows that a
+// heartbeat has reached someone.
+func (g *Group) hearAck(now time.Time, p *peer, hb *Heartbeat, res *Result) {
+	a := hb.Ack
 	if a == nil {
 		return
 	}
@@ -257,12 +263,19 @@
 		return // it has only heard the previous process
 	}
 	g.hearBefore(now, a)
-	p.acked = max(p.acked, min(a.Sequence, g.seq))
-	sent, ok := g.sentAt(a.Sequence)
-	if !ok || a.Sequence <= g.acked || g.by != nil {
+	if a.Sequence > g.seq {
+		return
+	}
+	p.acked = max(p.acked, a.Sequence)
+	seq := a.Sequence
+	if relayed, ok := g.ownAck(hb.Heard, a.Sequence); ok {
+		seq = max(seq, relayed)
+	}
+	sent, ok := g.sentAt(seq)
+	if !ok || seq <= g.acked || g.by != nil {
 		return
 	}
-	g.acked = a.Sequence
+	g.acked = seq
 	res.Events = append(res.Events, Contact{From: p.process(), Sent: sent})
 }
 
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -66,15 +66,17 @@
 
 // DomainNews is the state of a domain as one of its delegates sees it.
 type DomainNews struct {
-	_         struct{} `cbor:",toarray"`
-	Domain    ident.FailureDomain
-	Origin    ident.Process // delegate that made it
-	Sequence  uint64        // of the origin
-	OneWay    bool          // set by the relaying domain: the other does not hear it
-	Revision  ident.Revision
-	Live      int
-	Delegates []Delegate
-	Free      []PoolFree // a rotating part of the pools
+	_        struct{} `cbor:",toarray"`
+	Domain   ident.FailureDomain
+	Origin   ident.Process // delegate that made it
+	Sequence uint64        // of the origin
+	OneWay   bool          // set by the relaying domain: the other does not hear it
+	Revision ident.Revision
+	Live     int
+	// PlatformSilent is the least of the domain's hosts in milliseconds.
+	PlatformSilent uint64
+	Delegates      []Delegate
+	Free           []PoolFree // a rotating part of the pools
 }
 
 // Delegate is an entry host that speaks for its domain.
--- a/pkg/membership/peer.go
+++ b/pkg/membership/peer.go
@@ -11,6 +11,7 @@
 type peer struct {
 	host ident.HostID
 	inc  ident.Incarnation // zero until heard
+	hash uint8             // names the process in digests
 	addr string
 	slot ident.Slot
 
@@ -18,6 +19,7 @@
 	listLeaving bool
 	leaving     bool
 	released    bool
+	probe       bool // others hear a process in its slot
 	ready       bool
 	toldLeaving bool // HostLeaving was reported
 
@@ -39,9 +41,6 @@
 	told           bool // a RevisionHeard was reported
 	platformSilent time.Duration
 	free           []PoolFree
-
-	includedSeq uint64 // seq when last named in a digest
-	includedAt  uint64 // own sequence number at that time
 }
 
 func (p *peer) process() ident.Process {
@@ -59,12 +58,6 @@
 	res.Events = append(res.Events, HostLeaving{Process: p.process()})
 }
 
-// platformSilentAt returns the platform silence that the host last reported plus
-// the time since, as it may have heard nothing more.
-func (p *peer) platformSilentAt(now time.Time) time.Duration {
-	return p.platformSilent + now.Sub(p.directAt)
-}
-
 // peer returns the record of a host of the own domain, made if needed. It is nil
 // when the bound on peers is reached.
 func (g *Group) peer(now time.Time, id ident.HostID) *peer {
@@ -84,6 +77,9 @@
 // restart resets a record for a newer incarnation. What concerns the host and
 // not the process stays.
 func (g *Group) restart(now time.Time, p *peer, hb *Heartbeat) {
+	if g.bySlot[p.slot] == p {
+		delete(g.bySlot, p.slot)
+	}
 	*p = peer{
 		host:        p.host,
 		inc:         hb.Incarnation,
@@ -91,8 +87,12 @@
 		listed:      p.listed,
 		listLeaving: p.listLeaving && p.inc == 0,
 		heardAt:     now,
+		upAt:        now,
+		slot:        hb.Slot,
+		addr:        hb.Addr,
 	}
-	g.reindex()
+	p.hash = processHash(p.process())
+	g.index(p)
 }
 
 // heard records that a host's sequence number has grown.
--- a/pkg/membership/types.go
+++ b/pkg/membership/types.go
@@ -59,7 +59,7 @@
 	Acked          bool // it has acknowledged a recent heartbeat of ours
 	Revision       ident.Revision
 	Digest         [32]byte
-	PlatformSilent time.Duration
+	PlatformSilent time.Duration // as it last said, without the time since
 	Silent         time.Duration // since the last news of it, direct or relayed
 }
 
@@ -69,8 +69,10 @@
 	Reachable bool // news came lately, and the domain hears ours
 	Revision  ident.Revision
 	Live      int
-	Free      []PoolFree
-	Delegates []ident.HostID // entry hosts to address there; Addr has their addresses
+	// PlatformSilent is the least of the domain's hosts, plus the time since.
+	PlatformSilent time.Duration
+	Free           []PoolFree
+	Delegates      []ident.HostID // entry hosts to address there; Addr has their addresses
 }
 
 // View is a snapshot. Hosts are those of the own domain without the process
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -30,7 +30,7 @@
 		Acked:          g.hearsUs(now, p),
 		Revision:       p.revision,
 		Digest:         p.digest,
-		PlatformSilent: p.platformSilentAt(now),
+		PlatformSilent: p.platformSilent,
 		Silent:         now.Sub(p.heardAt),
 	}
 	return h
