Add load generator with the four metrics

Cause: the guarantees and the goals of the design page need a load whose arrivals do not depend on the router's answers. Change: internal/load draws all arrivals from a seed before the run, streams and verifies answers, records what callers see for the checkers, and writes metrics as text, JSON, CSV and SVG; cmd/mulberryload runs a workload and compares runs. The plans of the stand-ins name the versions and groups of the files in examples.

--- /dev/null
+++ b/cmd/mulberryload/main.go
@@ -0,0 +1,198 @@
+// Command mulberryload sends an open-loop load to entry hosts, verifies every
+// answer and writes the metrics of docs/design.md; see package load.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/mulberrystream/mulberrystream/internal/checker"
+	"github.com/mulberrystream/mulberrystream/internal/load"
+	"github.com/mulberrystream/mulberrystream/internal/record"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+)
+
+type runCommand struct {
+	Hosts       []string      `arg:"--hosts,required" help:"entry hosts as ip:port or id=ip:port"`
+	Workload    string        `arg:"--workload" default:"bagmati" help:"bagmati or adwenpa"`
+	Policy      string        `arg:"--policy" default:"default" help:"label of the run; the arrivals do not depend on it"`
+	Seed        uint64        `arg:"--seed" default:"1"`
+	Load        float64       `arg:"--load" default:"1" help:"factor on the requests that use the rates exactly"`
+	Duration    time.Duration `arg:"--duration" default:"30s"`
+	PeakFrom    time.Duration `arg:"--peak-from"`
+	PeakTo      time.Duration `arg:"--peak-to"`
+	PeakFactor  float64       `arg:"--peak-factor" help:"factor on all requests in the peak"`
+	Overload    []string      `arg:"--overload,separate" help:"organisation=factor on its requests"`
+	CancelShare *float64      `arg:"--cancel-share" help:"share of callers that go away in the middle"`
+	TimeScale   float64       `arg:"--time-scale" default:"1" help:"factor on arrival times and targets; rates of the rules stay per second"`
+	Timeout     time.Duration `arg:"--timeout" default:"60s" help:"callers go away after it"`
+	Events      string        `arg:"--events" help:"admin address of mulberryfake; gives wasted prefill and checks"`
+	Out         string        `arg:"--out" help:"directory for text, JSON, CSV and plots"`
+	Check       bool          `arg:"--check" help:"check the invariants over the records; fails on a violation"`
+}
+
+type compareCommand struct {
+	Files []string `arg:"positional,required" help:"summary.json of runs with the same arrivals"`
+}
+
+type settings struct {
+	Run     *runCommand     `arg:"subcommand:run" help:"send a load"`
+	Compare *compareCommand `arg:"subcommand:compare" help:"print the metrics of several runs side by side"`
+}
+
+func (settings) Description() string {
+	return "mulberryload sends an open-loop load to entry hosts and verifies every answer."
+}
+
+func main() {
+	var s settings
+	p := arg.MustParse(&s)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var err error
+	switch {
+	case s.Run != nil:
+		err = s.Run.run(ctx, os.Stdout)
+	case s.Compare != nil:
+		err = s.Compare.run(os.Stdout)
+	default:
+		p.Fail("use run or compare")
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "mulberryload:", err)
+		os.Exit(1)
+	}
+}
+
+var errViolations = errors.New("invariants violated")
+
+func (c *runCommand) run(ctx context.Context, out io.Writer) error {
+	w, err := c.workload()
+	if err != nil {
+		return err
+	}
+	log := &record.Log{}
+	cfg := load.Config{Scale: c.TimeScale, Timeout: c.Timeout, Log: log, Hosts: parseHosts(c.Hosts)}
+	before, err := c.events(ctx, 0)
+	if err != nil {
+		return err
+	}
+	results := load.Run(ctx, w, cfg)
+	engines, err := c.events(ctx, uint64(len(before)))
+	if err != nil {
+		return err
+	}
+	targets := load.DefaultTargets().Scaled(c.TimeScale)
+	s := load.Summarise(w, cfg, c.Policy, results, engines, targets)
+	if err := load.WriteText(out, s); err != nil {
+		return err
+	}
+	if c.Out != "" {
+		if err := load.WriteFiles(c.Out, w, s, results, targets); err != nil {
+			return err
+		}
+	}
+	if c.Check {
+		return c.check(out, w, append(log.All(), engines...))
+	}
+	return nil
+}
+
+func (c *runCommand) workload() (load.Workload, error) {
+	w, err := load.Preset(c.Workload)
+	if err != nil {
+		return w, err
+	}
+	w.Seed, w.Load, w.Duration = c.Seed, c.Load, c.Duration
+	w.Peak = load.Peak{From: c.PeakFrom, To: c.PeakTo, Factor: c.PeakFactor}
+	if c.CancelShare != nil {
+		w.CancelShare = *c.CancelShare
+	}
+	for _, o := range c.Overload {
+		name, factor, _ := strings.Cut(o, "=")
+		f, err := strconv.ParseFloat(factor, 64)
+		if err != nil {
+			return w, fmt.Errorf("overload %q: want organisation=factor", o)
+		}
+		if err := w.SetFactor(ident.Organisation(name), f); err != nil {
+			return w, err
+		}
+	}
+	return w, nil
+}
+
+func parseHosts(list []string) []load.Host {
+	var out []load.Host
+	for _, h := range list {
+		id, addr, ok := strings.Cut(h, "=")
+		if !ok {
+			addr = id
+		}
+		out = append(out, load.Host{ID: ident.HostID(id), Addr: addr})
+	}
+	return out
+}
+
+// events reads the records of the stand-ins after a sequence number; nil without
+// an address.
+func (c *runCommand) events(ctx context.Context, after uint64) ([]record.Record, error) {
+	if c.Events == "" {
+		return nil, nil
+	}
+	url := fmt.Sprintf("http://%s/fake/events?after=%d", c.Events, after)
+	req, err := http.NewRequestWithContext(context.WithoutCancel(ctx), http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("events: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var out []record.Record
+	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+		return nil, fmt.Errorf("events: %w", err)
+	}
+	return out, nil
+}
+
+func (c *runCommand) check(out io.Writer, w load.Workload, records []record.Record) error {
+	vs := checker.Check(records, w.CheckConfig())
+	for _, v := range vs {
+		_, _ = fmt.Fprintln(out, v)
+	}
+	_, _ = fmt.Fprintf(out, "%d records checked, %d violations\n", len(records), len(vs))
+	if len(vs) > 0 {
+		return errViolations
+	}
+	return nil
+}
+
+func (c *compareCommand) run(out io.Writer) error {
+	var runs []load.Summary
+	for _, f := range slices.Compact(c.Files) {
+		b, err := os.ReadFile(f)
+		if err != nil {
+			return err
+		}
+		var s load.Summary
+		if err := json.Unmarshal(b, &s); err != nil {
+			return fmt.Errorf("%s: %w", f, err)
+		}
+		runs = append(runs, s)
+	}
+	return load.WriteComparison(out, runs)
+}
--- a/internal/fake/deployment.go
+++ b/internal/fake/deployment.go
@@ -11,14 +11,16 @@
 	"github.com/mulberrystream/mulberrystream/pkg/platform"
 )
 
-// Plan says what a deployment has in each of its failure domains.
+// Plan says what a deployment has in each of its failure domains. Names, versions
+// and groups fit the files in examples.
 type Plan struct {
 	Name     string
 	Domains  []ident.FailureDomain
 	Model    ident.Model
 	Version  ident.Version
-	Prefills int // per domain
-	Decodes  int // per domain
+	Group    string // name of the batches, which end in -a and -b
+	Prefills int    // per domain
+	Decodes  int    // per domain
 	Service  ident.Model
 	Services int // per domain
 }
@@ -30,7 +32,8 @@
 		Name:     "bagmati",
 		Domains:  []ident.FailureDomain{"teku", "balaju", "thimi", "patan"},
 		Model:    "inspect-lm",
-		Version:  "v1",
+		Version:  "v7",
+		Group:    "inspect",
 		Prefills: 1,
 		Decodes:  2,
 		Service:  "counter-app",
@@ -46,7 +49,8 @@
 		Name:     "adwenpa",
 		Domains:  []ident.FailureDomain{"accra-a", "accra-b", "accra-c"},
 		Model:    "mulberry-lm",
-		Version:  "v1",
+		Version:  "v3",
+		Group:    "mulberry",
 		Prefills: 2,
 		Decodes:  2,
 		Service:  "refill-desk",
@@ -60,7 +64,7 @@
 	Seed        uint64
 	HostListLag time.Duration
 	ChunkSize   int
-	IgnoreFence bool // engines accept orders with a stale fencing number
+	IgnoreFence bool // all engines accept orders with a stale fencing number, not only batch b
 	EntryHosts  []platform.EntryHost
 	Rules       string // published as revision 1 unless empty
 }
@@ -101,7 +105,9 @@
 	}
 	d.Platform = p
 	for i, domain := range plan.Domains {
-		group := fmt.Sprintf("batch-%c", 'a'+i%2)
+		opt := opt
+		opt.IgnoreFence = opt.IgnoreFence || i%2 == 1
+		group := fmt.Sprintf("%s-%c", plan.Group, 'a'+i%2)
 		if err := d.startDomain(domain, group, opt); err != nil {
 			d.Close()
 			return nil, err
--- /dev/null
+++ b/internal/load/presets.go
@@ -0,0 +1,116 @@
+package load
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/mulberrystream/mulberrystream/internal/checker"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+)
+
+// demoKey returns the key that the files in examples publish for an id.
+func demoKey(id string) string { return id + ".demo-secret-" + id }
+
+// organisation returns an organisation of the example rules.
+func organisation(name ident.Organisation, key string, rate, burst float64, prompt, output Range) Organisation {
+	return Organisation{Name: name, Key: demoKey(key), Rate: rate, Burst: burst, Prompt: prompt, Output: output}
+}
+
+// Bagmati has long inspection reports with short verdicts, and the calls of the
+// counter application. It fits examples/bagmati.rules.
+func Bagmati() Workload {
+	report, verdict := Range{200, 16_000}, Range{20, 200}
+	note := Range{30, 2_000}
+	return Workload{
+		Name:  "bagmati",
+		Model: "inspect-lm",
+		Organisations: []Organisation{
+			organisation("everest-formwork", "everest-1", 9000, 60_000, report, verdict),
+			organisation("himal-towers", "himal-1", 7000, 50_000, report, verdict),
+			organisation("kathmandu-clips", "kathmandu-1", 2000, 20_000, note, verdict),
+			organisation("lalitpur-repairs", "lalitpur-1", 1500, 20_000, note, verdict),
+			organisation("newar-restoration", "newar-1", 1500, 20_000, note, verdict),
+		},
+		Calls: []Call{
+			{Path: "/counter/refunds", NoRepeat: true, PerSec: 2},
+			{Path: "/counter/returns", NoRepeat: true, PerSec: 2},
+			{Path: "/counter/balances", PerSec: 4},
+		},
+		Duration:     30 * time.Second,
+		Load:         1,
+		Prefixes:     4,
+		PrefixTokens: 1000,
+		PrefixShare:  0.5,
+		CancelShare:  0.02,
+		StopShare:    0.25,
+		Seed:         1,
+	}
+}
+
+// Adwenpa has long ledgers with short summaries, and the bookings of the refill
+// desk. It fits examples/adwenpa.rules.
+func Adwenpa() Workload {
+	ledger, summary := Range{1000, 30_000}, Range{20, 150}
+	page := Range{100, 6_000}
+	return Workload{
+		Name:  "adwenpa",
+		Model: "mulberry-lm",
+		Organisations: []Organisation{
+			organisation("akosombo-clinics", "akosombo-1", 5000, 80_000, ledger, summary),
+			organisation("cape-coast-coop", "cape-1", 4000, 60_000, ledger, summary),
+			organisation("kumasi-market", "kumasi-1", 1500, 40_000, page, summary),
+			organisation("tamale-schools", "tamale-1", 1200, 40_000, page, summary),
+			organisation("volta-ferries", "volta-1", 1200, 40_000, page, summary),
+		},
+		Calls: []Call{
+			{Path: "/desk/pickups", NoRepeat: true, PerSec: 2},
+			{Path: "/desk/dues", NoRepeat: true, PerSec: 1},
+			{Path: "/desk/ledger", PerSec: 2},
+		},
+		Duration:     30 * time.Second,
+		Load:         1,
+		Prefixes:     4,
+		PrefixTokens: 1000,
+		PrefixShare:  0.5,
+		CancelShare:  0.02,
+		StopShare:    0.25,
+		Seed:         1,
+	}
+}
+
+// Preset returns the workload of a name.
+func Preset(name string) (Workload, error) {
+	switch name {
+	case "bagmati":
+		return Bagmati(), nil
+	case "adwenpa":
+		return Adwenpa(), nil
+	}
+	return Workload{}, fmt.Errorf("unknown workload %q", name)
+}
+
+// SetFactor makes one organisation send a multiple of its rate.
+func (w *Workload) SetFactor(name ident.Organisation, factor float64) error {
+	for i := range w.Organisations {
+		if w.Organisations[i].Name == name {
+			w.Organisations[i].Factor = factor
+			return nil
+		}
+	}
+	return fmt.Errorf("unknown organisation %q", name)
+}
+
+// CheckConfig says what the checkers expect of a run of the workload, with the
+// bounds of the design page.
+func (w Workload) CheckConfig() checker.Config {
+	c := checker.DefaultConfig()
+	c.Organisations = map[ident.Organisation]checker.Share{}
+	c.Keys = map[ident.KeyID]checker.Key{}
+	for _, o := range w.Organisations {
+		_, secret, _ := strings.Cut(o.Key, ".")
+		c.Organisations[o.Name] = checker.Share{Rate: o.Rate, Burst: o.Burst}
+		c.Keys[o.KeyID()] = checker.Key{Organisation: o.Name, Secret: secret}
+	}
+	return c
+}
