Treat a cut line as incomplete, pool write buffers

Cause: bufio.Scanner returns the rest of a line after a read error, so a stream cut in the middle of a chunk was reported as malformed instead of broken; a new spec with the fault proxy failed eight times in eight runs. Each call allocated a 4 KiB write buffer. Write buffers are pooled. Expect is not forwarded to services, and their headers may be 16 KiB. mulberryload measures the time of answered calls only.

--- a/internal/load/metrics.go
+++ b/internal/load/metrics.go
@@ -158,7 +158,9 @@
 		}
 		if r.Arrival.Call != nil {
 			s.Calls.add(r)
-			observe(calls, r.Last)
+			if r.Outcome == record.Answered {
+				observe(calls, r.Last)
+			}
 			continue
 		}
 		s.Completions.add(r)
--- a/pkg/engine/enginehttp/decode.go
+++ b/pkg/engine/enginehttp/decode.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -46,6 +47,7 @@
 	next := r.Offset
 	lines := bufio.NewScanner(s)
 	lines.Buffer(make([]byte, 0, 4<<10), maxLine)
+	lines.Split(wholeLines)
 	for lines.Scan() {
 		if len(lines.Bytes()) == 0 {
 			continue // keep-alive
@@ -76,6 +78,15 @@
 	return c.decodeError(engine.CodeIncomplete, io.ErrUnexpectedEOF)
 }
 
+// wholeLines splits like bufio.ScanLines but never returns a last line without its
+// end. Such a line was cut off by the connection and is not an answer.
+func wholeLines(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	if atEOF && bytes.IndexByte(data, '\n') < 0 {
+		return 0, nil, nil
+	}
+	return bufio.ScanLines(data, atEOF)
+}
+
 func (c *Client) decodeError(code string, err error) *engine.Error {
 	return &engine.Error{Step: "decode", Peer: c.conn.Addr(), Code: code, Err: err}
 }
--- a/pkg/engine/enginehttp/service.go
+++ b/pkg/engine/enginehttp/service.go
@@ -22,8 +22,15 @@
 	conn *sendonce.Client
 }
 
+// serviceHeader is the largest response header of a plain service by default, in
+// bytes. Services set cookies, engines do not.
+const serviceHeader = 16 << 10
+
 // NewService returns a client of the plain service at addr.
 func NewService(addr string, opt sendonce.Options) *ServiceClient {
+	if opt.BufferSize <= 0 {
+		opt.BufferSize = serviceHeader
+	}
 	return &ServiceClient{conn: sendonce.New(addr, opt)}
 }
 
@@ -81,7 +88,7 @@
 // dropped reports whether a header belongs to one connection only, or is a key.
 func dropped(name string) bool {
 	switch strings.ToLower(name) {
-	case "authorization", "connection", "content-length", "host", "keep-alive",
+	case "authorization", "connection", "content-length", "expect", "host", "keep-alive",
 		"proxy-authenticate", "proxy-authorization", "proxy-connection", "te",
 		"trailer", "transfer-encoding", "upgrade":
 		return true
--- a/pkg/sendonce/client.go
+++ b/pkg/sendonce/client.go
@@ -118,10 +118,16 @@
 	return nil
 }
 
+// writers keeps write buffers, which only live as long as a request is written.
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, 4<<10) }}
+
 // roundTrip writes the request and reads the response, and names the step that
 // failed.
 func (c *Client) roundTrip(cn *conn, req *fasthttp.Request, resp *fasthttp.Response) (string, error) {
-	bw := bufio.NewWriterSize(cn, c.opt.BufferSize)
+	bw := writers.Get().(*bufio.Writer)
+	defer writers.Put(bw)
+	bw.Reset(cn)
+	defer bw.Reset(nil)
 	if err := req.Write(bw); err != nil {
 		return "send", err
 	}
