Resume at another engine with the output so far

Cause: the driver resumes with the tokens already delivered in the prefill, which the stand-ins ignored, so a wrong resume would have gone unnoticed. Change: PrefillRequest has Output; the stand-in's KV cache covers it, and output that is not the begin of the answer leads to another answer.

--- a/internal/fake/decode.go
+++ b/internal/fake/decode.go
@@ -141,12 +141,12 @@
 	e.stream(w, r, h, req.Offset, mine)
 }
 
-// joinBatchLocked adds a request to the batch. It starts with the tokens that the
-// caller already has.
+// joinBatchLocked adds a request to the batch. It starts after the output that the
+// KV cache covers; output up to the offset of the call is produced again.
 func (e *Engine) joinBatchLocked(h *held, req engine.DecodeRequest) {
 	h.phase = decoding
 	h.max = min(req.MaxTokens, h.kv.Stop)
-	h.produced = min(req.Offset, h.max)
+	h.produced = min(h.kv.Output, h.max)
 	e.noteHeld(record.Start, "decode", h)
 	e.batch = append(e.batch, h)
 	if !e.stepping {
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -66,13 +66,17 @@
 type kv struct {
 	Content content.Hash `json:"content"`
 	Prompt  int          `json:"prompt"` // tokens
+	Output  int          `json:"output"` // output tokens that follow the prompt
 	Stop    int          `json:"stop"`   // output tokens at most
 	Seed    uint64       `json:"seed"`   // stands for the cached values
 }
 
+// tokens returns the tokens that the KV cache covers.
+func (k kv) tokens() int { return k.Prompt + k.Output }
+
 // checksum stands for a checksum over the cached values.
 func (k kv) checksum() uint64 {
-	return uint64(k.Content)*31 + k.Seed*17 + uint64(k.Prompt)
+	return uint64(k.Content)*31 + k.Seed*17 + uint64(k.tokens())
 }
 
 type phase int
--- a/internal/fake/fake_test.go
+++ b/internal/fake/fake_test.go
@@ -119,6 +119,22 @@
 		Expect(code(decode(ref, 0, 50, collect))).To(Equal(engine.CodeUnknownAttempt))
 	})
 
+	DescribeTable("resumes at another engine, which needs the right output so far for the right rest",
+		func(output string, same bool) {
+			ref := newRef()
+			r, err := p.Prefill(ctx, engine.PrefillRequest{Ref: ref, Model: "m", Version: "v1", Prompt: "p", Output: output})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(r.Tokens).To(Equal(1 + content.Count(output)))
+			_, err = d.Import(ctx, engine.ImportRequest{Ref: ref, Model: "m", Version: "v1", Source: pre.Info().Addr})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(decode(ref, 3, 6, collect)).To(Succeed())
+			Expect(content.Answer("p", 3)+got == content.Answer("p", 6)).To(Equal(same))
+		},
+		Entry("right output", content.Answer("p", 3), true),
+		Entry("no output, which the engine produces again", "", true),
+		Entry("output of another request", content.Answer("q", 3), false),
+	)
+
 	It("refuses what it cannot hold", func() {
 		for range 2 {
 			_, _, err := load(newRef(), "p")
--- a/internal/fake/prefill.go
+++ b/internal/fake/prefill.go
@@ -15,9 +15,7 @@
 		return
 	}
 	h := &held{ref: req.Ref, phase: queued, priority: req.Priority, prompt: req.Prompt}
-	h.kv = kv{Content: content.Of(req.Prompt), Prompt: content.Count(req.Prompt)}
-	h.kv.Stop = content.Length(req.Prompt, maxOutput)
-	h.kv.Seed = e.cfg.Seed ^ uint64(h.kv.Content)
+	h.kv = newKV(req, e.cfg.Seed)
 
 	e.mu.Lock()
 	arrival := record.Record{Kind: record.Arrival, Step: "prefill", Ref: &req.Ref, Headers: headerLines(r.Header)}
@@ -40,14 +38,30 @@
 	t := e.cfg.Timing
 	writeJSON(w, engine.PrefillResult{
 		Ref:      h.ref,
-		Tokens:   h.kv.Prompt,
+		Tokens:   h.kv.tokens(),
 		Cached:   h.hit,
 		Checksum: h.kv.checksum(),
-		Bytes:    int64(h.kv.Prompt) * t.KVBytesPerToken,
+		Bytes:    int64(h.kv.tokens()) * t.KVBytesPerToken,
 		Lifetime: t.scaled(t.KVLifetime),
 	})
 }
 
+// newKV returns the KV cache of a prompt and the output that follows it. Output
+// that is not the begin of the answer leads to another answer, as in a model.
+func newKV(req engine.PrefillRequest, seed uint64) kv {
+	k := kv{
+		Content: content.Of(req.Prompt),
+		Prompt:  content.Count(req.Prompt),
+		Output:  content.Count(req.Output),
+		Stop:    content.Length(req.Prompt, maxOutput),
+	}
+	if req.Output != content.Answer(req.Prompt, k.Output) {
+		k.Content ^= content.Of(req.Output)
+	}
+	k.Seed = seed ^ uint64(k.Content)
+	return k
+}
+
 // maxOutput bounds the answer of a prompt without a stop word.
 const maxOutput = 1 << 30
 
@@ -75,7 +89,7 @@
 	t := e.cfg.Timing
 	blocks := content.Blocks(h.prompt, t.BlockTokens)
 	h.hit = e.cache.use(time.Now(), blocks) * t.BlockTokens
-	work := time.Duration(h.kv.Prompt-h.hit) * t.PrefillPerToken
+	work := time.Duration(h.kv.tokens()-h.hit) * t.PrefillPerToken
 	return time.Duration(float64(t.scaled(work)) * e.faults.slowFactor())
 }
 
--- a/internal/load/presets.go
+++ b/internal/load/presets.go
@@ -17,26 +17,11 @@
 	return Organisation{Name: name, Key: demoKey(key), Rate: rate, Burst: burst, Prompt: prompt, Output: output}
 }
 
-// Bagmati has long inspection reports with short verdicts, and the calls of the
-// counter application. It fits examples/bagmati.rules.
-func Bagmati() Workload {
-	report, verdict := Range{200, 16_000}, Range{20, 200}
-	note := Range{30, 2_000}
+// preset returns what the workloads have in common.
+func preset(name string, model ident.Model) Workload {
 	return Workload{
-		Name:  "bagmati",
-		Model: "inspect-lm",
-		Organisations: []Organisation{
-			organisation("everest-formwork", "everest-1", 9000, 60_000, report, verdict),
-			organisation("himal-towers", "himal-1", 7000, 50_000, report, verdict),
-			organisation("kathmandu-clips", "kathmandu-1", 2000, 20_000, note, verdict),
-			organisation("lalitpur-repairs", "lalitpur-1", 1500, 20_000, note, verdict),
-			organisation("newar-restoration", "newar-1", 1500, 20_000, note, verdict),
-		},
-		Calls: []Call{
-			{Path: "/counter/refunds", NoRepeat: true, PerSec: 2},
-			{Path: "/counter/returns", NoRepeat: true, PerSec: 2},
-			{Path: "/counter/balances", PerSec: 4},
-		},
+		Name:         name,
+		Model:        model,
 		Duration:     30 * time.Second,
 		Load:         1,
 		Prefixes:     4,
@@ -48,35 +33,44 @@
 	}
 }
 
+// Bagmati has long inspection reports with short verdicts, and the calls of the
+// counter application. It fits examples/bagmati.rules.
+func Bagmati() Workload {
+	report, note, verdict := Range{200, 16_000}, Range{30, 2_000}, Range{20, 200}
+	w := preset("bagmati", "inspect-lm")
+	w.Organisations = []Organisation{
+		organisation("everest-formwork", "everest-1", 9000, 60_000, report, verdict),
+		organisation("himal-towers", "himal-1", 7000, 50_000, report, verdict),
+		organisation("kathmandu-clips", "kathmandu-1", 2000, 20_000, note, verdict),
+		organisation("lalitpur-repairs", "lalitpur-1", 1500, 20_000, note, verdict),
+		organisation("newar-restoration", "newar-1", 1500, 20_000, note, verdict),
+	}
+	w.Calls = []Call{
+		{Path: "/counter/refunds", NoRepeat: true, PerSec: 2},
+		{Path: "/counter/returns", NoRepeat: true, PerSec: 2},
+		{Path: "/counter/balances", PerSec: 4},
+	}
+	return w
+}
+
 // Adwenpa has long ledgers with short summaries, and the bookings of the refill
 // desk. It fits examples/adwenpa.rules.
 func Adwenpa() Workload {
-	ledger, summary := Range{1000, 30_000}, Range{20, 150}
-	page := Range{100, 6_000}
-	return Workload{
-		Name:  "adwenpa",
-		Model: "mulberry-lm",
-		Organisations: []Organisation{
-			organisation("akosombo-clinics", "akosombo-1", 5000, 80_000, ledger, summary),
-			organisation("cape-coast-coop", "cape-1", 4000, 60_000, ledger, summary),
-			organisation("kumasi-market", "kumasi-1", 1500, 40_000, page, summary),
-			organisation("tamale-schools", "tamale-1", 1200, 40_000, page, summary),
-			organisation("volta-ferries", "volta-1", 1200, 40_000, page, summary),
-		},
-		Calls: []Call{
-			{Path: "/desk/pickups", NoRepeat: true, PerSec: 2},
-			{Path: "/desk/dues", NoRepeat: true, PerSec: 1},
-			{Path: "/desk/ledger", PerSec: 2},
-		},
-		Duration:     30 * time.Second,
-		Load:         1,
-		Prefixes:     4,
-		PrefixTokens: 1000,
-		PrefixShare:  0.5,
-		CancelShare:  0.02,
-		StopShare:    0.25,
-		Seed:         1,
+	ledger, page, summary := Range{1000, 30_000}, Range{100, 6_000}, Range{20, 150}
+	w := preset("adwenpa", "mulberry-lm")
+	w.Organisations = []Organisation{
+		organisation("akosombo-clinics", "akosombo-1", 5000, 80_000, ledger, summary),
+		organisation("cape-coast-coop", "cape-1", 4000, 60_000, ledger, summary),
+		organisation("kumasi-market", "kumasi-1", 1500, 40_000, page, summary),
+		organisation("tamale-schools", "tamale-1", 1200, 40_000, page, summary),
+		organisation("volta-ferries", "volta-1", 1200, 40_000, page, summary),
+	}
+	w.Calls = []Call{
+		{Path: "/desk/pickups", NoRepeat: true, PerSec: 2},
+		{Path: "/desk/dues", NoRepeat: true, PerSec: 1},
+		{Path: "/desk/ledger", PerSec: 2},
 	}
+	return w
 }
 
 // Preset returns the workload of a name.
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -37,7 +37,8 @@
 	Version  ident.Version    `json:"version"`
 	Adapter  ident.Version    `json:"adapter,omitempty"`
 	Prompt   string           `json:"prompt"`
-	Priority int              `json:"priority"` // higher runs first
+	Output   string           `json:"output,omitempty"` // tokens already delivered, which follow the prompt
+	Priority int              `json:"priority"`         // higher runs first
 }
 
 // PrefillResult names a KV cache that the prefill engine keeps for Lifetime.
