Fit the stand-ins' speed to the latency target, scale rates and load

Cause: with 100 us a token the prompts of the workloads above 9,500 tokens could not meet the first token target on any engine, and the example rates use a small part of the stand-ins.

--- a/cmd/mulberryfake/main.go
+++ b/cmd/mulberryfake/main.go
@@ -21,6 +21,7 @@
 	"github.com/alexflint/go-arg"
 
 	"github.com/mulberrystream/mulberrystream/internal/fake"
+	"github.com/mulberrystream/mulberrystream/internal/load"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 	"github.com/mulberrystream/mulberrystream/pkg/platform"
 )
@@ -33,6 +34,7 @@
 	Listen      string        `arg:"--listen,env:MULBERRYFAKE_LISTEN" default:"127.0.0.1:0" help:"admin address"`
 	Seed        uint64        `arg:"--seed,env:MULBERRYFAKE_SEED" default:"1"`
 	HostListLag time.Duration `arg:"--host-list-lag,env:MULBERRYFAKE_HOST_LIST_LAG" default:"1s"`
+	RateScale   float64       `arg:"--rate-scale" default:"1" help:"factor on the rates and bursts of the rules"`
 	IgnoreFence bool          `arg:"--ignore-fence" help:"engines accept stale fencing numbers"`
 }
 
@@ -90,15 +92,15 @@
 		if err != nil {
 			return nil, err
 		}
-		opt.Rules = string(text)
+		if opt.Rules, err = load.ScaleRates(string(text), s.RateScale); err != nil {
+			return nil, err
+		}
 	}
-	switch s.Deployment {
-	case "bagmati":
-		return fake.Bagmati(opt)
-	case "adwenpa":
-		return fake.Adwenpa(opt)
+	plan, err := fake.PlanOf(s.Deployment)
+	if err != nil {
+		return nil, err
 	}
-	return nil, fmt.Errorf("unknown deployment %q", s.Deployment)
+	return fake.Start(plan, opt)
 }
 
 var errEntryHost = errors.New("want id=ip:port:domain:slot")
--- a/cmd/mulberryload/main.go
+++ b/cmd/mulberryload/main.go
@@ -20,6 +20,7 @@
 	"github.com/alexflint/go-arg"
 
 	"github.com/mulberrystream/mulberrystream/internal/checker"
+	"github.com/mulberrystream/mulberrystream/internal/fake"
 	"github.com/mulberrystream/mulberrystream/internal/load"
 	"github.com/mulberrystream/mulberrystream/internal/record"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
@@ -31,6 +32,8 @@
 	Policy      string        `arg:"--policy" default:"default" help:"label of the run; the arrivals do not depend on it"`
 	Seed        uint64        `arg:"--seed" default:"1"`
 	Load        float64       `arg:"--load" default:"1" help:"factor on the requests that use the rates exactly"`
+	OfCapacity  float64       `arg:"--of-capacity" help:"sets the load to a share of what the stand-ins of the workload can complete"`
+	RateScale   float64       `arg:"--rate-scale" default:"1" help:"factor on the rates of the organisations, as of mulberryfake"`
 	Duration    time.Duration `arg:"--duration" default:"30s"`
 	PeakFrom    time.Duration `arg:"--peak-from"`
 	PeakTo      time.Duration `arg:"--peak-to"`
@@ -117,6 +120,17 @@
 		return w, err
 	}
 	w.Seed, w.Load, w.Duration = c.Seed, c.Load, c.Duration
+	w.ScaleRates(c.RateScale)
+	if c.OfCapacity > 0 {
+		plan, err := fake.PlanOf(c.Workload)
+		if err != nil {
+			return w, err
+		}
+		timing := fake.DefaultTiming()
+		timing.Scale = c.TimeScale
+		perSecond, prompt, output := w.Requests()
+		w.Load = c.OfCapacity * plan.Capacity(timing, prompt, output) * c.TimeScale / perSecond
+	}
 	w.Peak = load.Peak{From: c.PeakFrom, To: c.PeakTo, Factor: c.PeakFactor}
 	if c.CancelShare != nil {
 		w.CancelShare = *c.CancelShare
--- a/internal/fake/deployment.go
+++ b/internal/fake/deployment.go
@@ -89,6 +89,17 @@
 	Weights  *WeightStore
 }
 
+// PlanOf returns the plan of a deployment.
+func PlanOf(deployment string) (Plan, error) {
+	switch deployment {
+	case "bagmati":
+		return BagmatiPlan(), nil
+	case "adwenpa":
+		return AdwenpaPlan(), nil
+	}
+	return Plan{}, fmt.Errorf("unknown deployment %q", deployment)
+}
+
 // Bagmati starts the deployment of BagmatiPlan.
 func Bagmati(opt Options) (*Deployment, error) { return Start(BagmatiPlan(), opt) }
 
@@ -121,7 +132,7 @@
 }
 
 func (d *Deployment) startDomain(domain ident.FailureDomain, group string, opt Options) error {
-	info := engine.Info{Domain: domain, Model: d.Plan.Model, Version: d.Plan.Version, Group: group, Slots: 20}
+	info := engine.Info{Domain: domain, Model: d.Plan.Model, Version: d.Plan.Version, Group: group, Slots: defaultSlots}
 	for i := range d.Plan.Prefills {
 		info.ID = ident.BackendID(fmt.Sprintf("%s-%s-p%d", d.Plan.Model, domain, i))
 		info.Role = engine.Prefill
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -108,13 +108,16 @@
 	life     *life
 }
 
+// defaultSlots is the number of requests that an engine holds.
+const defaultSlots = 20
+
 // NewEngine starts an engine on a port that the kernel chooses.
 func NewEngine(cfg EngineConfig) (*Engine, error) {
 	if cfg.Log == nil {
 		cfg.Log = &record.Log{}
 	}
 	if cfg.Info.Slots <= 0 {
-		cfg.Info.Slots = 20
+		cfg.Info.Slots = defaultSlots
 	}
 	e := &Engine{cfg: cfg, log: cfg.Log, info: cfg.Info, http: &http.Client{Transport: &http.Transport{}}}
 	e.resetLocked()
--- a/internal/fake/fake_test.go
+++ b/internal/fake/fake_test.go
@@ -183,7 +183,7 @@
 
 	It("runs waiting prefills by priority", func() {
 		// The first prefill takes long enough for the others to come in.
-		pre.SetFaults(fake.Faults{Slow: 50})
+		pre.SetFaults(fake.Faults{Slow: 250})
 		refs := []ident.BackendRef{newRef(), newRef(), newRef()}
 		for i, words := range []int{4000, 1, 1} {
 			go func() {
@@ -315,6 +315,18 @@
 	})
 })
 
+var _ = Describe("Plan", func() {
+	It("has the capacity of its scarcer engines", func() {
+		t := fake.DefaultTiming()
+		p := fake.BagmatiPlan()
+		// Four prefill engines of 50,000 tokens a second, eight decode engines of 800.
+		Expect(p.Capacity(t, 4000, 1)).To(BeNumerically("~", 50, 1e-6))
+		Expect(p.Capacity(t, 1, 100)).To(BeNumerically("~", 64, 1e-6))
+		t.Scale = 0.5
+		Expect(p.Capacity(t, 4000, 1)).To(BeNumerically("~", 100, 1e-6))
+	})
+})
+
 var _ = Describe("Deployment", func() {
 	DescribeTable("has the size that the requirements name", func(start func(fake.Options) (*fake.Deployment, error), engines, services, domains int) {
 		d, err := start(fake.Options{Rules: "rules"})
--- a/internal/fake/timing.go
+++ b/internal/fake/timing.go
@@ -21,18 +21,20 @@
 	LoadTime        time.Duration // time to load a version from the weight store
 }
 
-// DefaultTiming has a prefill of 1,000 tokens cost as much as some five steps of
-// a decode batch, and a full batch of 20 produce a token every 25 ms. A prompt of
-// 4,000 tokens then costs 0.4 s of the first token target of 0.95 s.
+// DefaultTiming lets the longest prompts in use, 30,000 tokens, meet the target of
+// 0.95 s to the first token on an idle fleet: 0.6 s of prefill and 0.12 s of
+// transfer. A full decode batch of 20 produces a token of each request every 25 ms,
+// so a token costs 1.25 ms of an engine, and a prefill of 4,000 tokens as much as
+// 64 output tokens.
 func DefaultTiming() Timing {
 	return Timing{
 		Scale:           1,
-		PrefillPerToken: 100 * time.Microsecond,
+		PrefillPerToken: 20 * time.Microsecond,
 		DecodeBase:      15 * time.Millisecond,
 		DecodePerSlot:   500 * time.Microsecond,
 		KVLifetime:      800 * time.Millisecond,
 		KVBytesPerToken: 100_000,
-		LinkRate:        10_000_000_000,
+		LinkRate:        25_000_000_000,
 		BlockTokens:     1000,
 		CacheBlocks:     64,
 		EventDelay:      200 * time.Millisecond,
@@ -58,3 +60,13 @@
 	d := t.DecodeBase + time.Duration(batch)*t.DecodePerSlot
 	return time.Duration(float64(t.scaled(d)) * slow)
 }
+
+// Capacity returns how many requests a second the engines of a plan can complete
+// at most, with mean prompt and output tokens and without any prefix hit.
+func (p Plan) Capacity(t Timing, prompt, output float64) float64 {
+	domains := float64(len(p.Domains))
+	prefill := domains * float64(p.Prefills) / (prompt * t.PrefillPerToken.Seconds() * t.Scale)
+	batch := defaultSlots
+	decode := domains * float64(p.Decodes*batch) / (output * t.step(batch, 1).Seconds())
+	return min(prefill, decode)
+}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -131,6 +131,21 @@
 		Expect(b.SetFactor("nobody", 4)).NotTo(Succeed())
 	})
 
+	It("scales the rates of the rules with those of the workload, and nothing else", func() {
+		rules := "# rate 5 burst 6\ndomain a slots 2 # x\norganisation b rate 1000 burst 30 weight 4 prefer wait # rate 7\n"
+		got, err := load.ScaleRates(rules, 2.5)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal("# rate 5 burst 6\ndomain a slots 2 # x\norganisation b rate 2500 burst 75 weight 4 prefer wait # rate 7\n"))
+		_, err = load.ScaleRates(rules, 0)
+		Expect(err).To(HaveOccurred())
+		w := load.Bagmati()
+		before, prompt, _ := w.Requests()
+		w.ScaleRates(2)
+		after, same, _ := w.Requests()
+		Expect(after).To(BeNumerically("~", 2*before, 1e-9))
+		Expect(same).To(Equal(prompt))
+	})
+
 	It("sends more in the peak only", func() {
 		w := load.Bagmati()
 		w.Duration = 300 * time.Second
--- a/internal/load/presets.go
+++ b/internal/load/presets.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"math"
+	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
@@ -84,6 +87,33 @@
 	return Workload{}, fmt.Errorf("unknown workload %q", name)
 }
 
+// ScaleRates multiplies the rates and bursts of all organisations.
+func (w *Workload) ScaleRates(factor float64) {
+	for i := range w.Organisations {
+		w.Organisations[i].Rate *= factor
+		w.Organisations[i].Burst *= factor
+	}
+}
+
+// organisationRule matches the numbers of an organisation's rule.
+var organisationRule = regexp.MustCompile(`(?m)^(organisation\s+\S+\s+rate\s+)(\d+)(\s+burst\s+)(\d+)`)
+
+// ScaleRates multiplies the rates and bursts in a rules text, for a fleet of
+// another size.
+func ScaleRates(rules string, factor float64) (string, error) {
+	if factor <= 0 {
+		return "", fmt.Errorf("rate scale %g: want a positive number", factor)
+	}
+	scaled := func(number string) string {
+		n, _ := strconv.ParseFloat(number, 64)
+		return strconv.FormatFloat(max(1, math.Round(n*factor)), 'f', 0, 64)
+	}
+	return organisationRule.ReplaceAllStringFunc(rules, func(rule string) string {
+		m := organisationRule.FindStringSubmatch(rule)
+		return m[1] + scaled(m[2]) + m[3] + scaled(m[4])
+	}), nil
+}
+
 // SetFactor makes one organisation send a multiple of its rate.
 func (w *Workload) SetFactor(name ident.Organisation, factor float64) error {
 	for i := range w.Organisations {
--- a/internal/load/workload.go
+++ b/internal/load/workload.go
@@ -109,6 +109,18 @@
 	Host         int // random number that chooses the entry host
 }
 
+// Requests returns the completions a second at load 1 and their mean tokens, with
+// each organisation at its rate.
+func (w Workload) Requests() (perSecond, prompt, output float64) {
+	for _, o := range w.Organisations {
+		n := o.requests()
+		perSecond += n
+		prompt += n * o.Prompt.mean()
+		output += n * o.Output.mean()
+	}
+	return perSecond, ratio(prompt, perSecond), ratio(output, perSecond)
+}
+
 // Arrivals returns all requests in order of time. Each organisation and each kind
 // of call has its own random numbers, so a change of one leaves the others alone.
 func (w Workload) Arrivals() []Arrival {
