Record host revisions and notes of the harness

Cause: the checkers of graceful stops and of configurations need records that neither callers nor stand-ins make; with a load above 1 no organisation counted as well-behaved.

--- a/cmd/mulberryload/main.go
+++ b/cmd/mulberryload/main.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -44,6 +45,7 @@
 	Timeout     time.Duration `arg:"--timeout" default:"60s" help:"callers go away after it"`
 	Events      string        `arg:"--events" help:"admin address of mulberryfake; gives wasted prefill and checks"`
 	Out         string        `arg:"--out" help:"directory for text, JSON, CSV and plots"`
+	Status      []string      `arg:"--status" help:"operator addresses of entry hosts as id=ip:port; records their revisions for the checks"`
 	Check       bool          `arg:"--check" help:"check the invariants over the records; fails on a violation"`
 }
 
@@ -93,7 +95,7 @@
 	if err != nil {
 		return err
 	}
-	results := load.Run(ctx, w, cfg)
+	results := c.watched(ctx, log, func() []load.Result { return load.Run(ctx, w, cfg) })
 	engines, err := c.events(ctx, uint64(len(before)))
 	if err != nil {
 		return err
@@ -114,6 +116,20 @@
 	return nil
 }
 
+// watched runs a load while the revisions of the hosts are recorded.
+func (c *runCommand) watched(ctx context.Context, log *record.Log, run func() []load.Result) []load.Result {
+	ctx, stop := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	wg.Go(func() { load.WatchRevisions(ctx, log, parseHosts(c.Status), revisionInterval) })
+	return run()
+}
+
+// revisionInterval is the time between two looks at a host's revision. It adds to
+// what the checker takes for the time until a configuration is in force.
+const revisionInterval = 250 * time.Millisecond
+
 func (c *runCommand) workload() (load.Workload, error) {
 	w, err := load.Preset(c.Workload)
 	if err != nil {
@@ -184,7 +200,11 @@
 }
 
 func (c *runCommand) check(out io.Writer, w load.Workload, records []record.Record) error {
-	vs := checker.Check(records, w.CheckConfig())
+	cfg := w.CheckConfig()
+	for _, h := range parseHosts(c.Status) {
+		cfg.Hosts = append(cfg.Hosts, h.ID)
+	}
+	vs := checker.Check(records, cfg)
 	for _, v := range vs {
 		_, _ = fmt.Fprintln(out, v)
 	}
--- a/internal/fake/admin.go
+++ b/internal/fake/admin.go
@@ -23,6 +23,7 @@
 //	POST /fake/remove?id=ID                    take a host from the list
 //	POST /fake/backend?id=ID&do=crash|restart  stop and start a backend server
 //	POST /fake/faults?id=ID                    JSON Faults of a backend server
+//	POST /fake/note                            JSON Record of the harness, such as a host's stop
 //	POST /fake/platform?do=down|up|silent|loud|freeze|thaw|back&n=N
 func (d *Deployment) Admin() http.Handler {
 	mux := http.NewServeMux()
@@ -35,6 +36,7 @@
 		"remove":   d.adminRemove,
 		"backend":  d.adminBackend,
 		"faults":   d.adminFaults,
+		"note":     d.adminNote,
 		"platform": d.adminPlatform,
 	} {
 		mux.HandleFunc("POST /fake/"+path, func(w http.ResponseWriter, r *http.Request) {
@@ -137,6 +139,16 @@
 	return nil
 }
 
+// adminNote adds what only the harness knows to the log.
+func (d *Deployment) adminNote(r *http.Request) error {
+	var x record.Record
+	if err := json.NewDecoder(r.Body).Decode(&x); err != nil {
+		return err
+	}
+	d.Log.Add(x)
+	return nil
+}
+
 func (d *Deployment) adminPlatform(r *http.Request) error {
 	q := r.URL.Query()
 	p := d.Platform
--- a/internal/load/metrics.go
+++ b/internal/load/metrics.go
@@ -75,7 +75,7 @@
 	Share      float64            `json:"share"`           // served of demanded
 	WithinRate int                `json:"within_rate"`     // requests within rate and burst
 	Refused    int                `json:"wrongly_refused"` // of these
-	Behaved    bool               `json:"well_behaved"`    // sends at most its rate
+	Behaved    bool               `json:"well_behaved"`    // sends no higher multiple of its rate than the load
 	FirstToken Latency            `json:"first_token"`
 }
 
@@ -199,7 +199,8 @@
 	hists := make([]*hdrhistogram.Histogram, len(w.Organisations))
 	for i, o := range w.Organisations {
 		hists[i] = histogram()
-		behaved := o.factor()*w.Load*max(1, w.Peak.Factor) <= 1
+		// A load above 1 is the same for all, so it makes none of them misbehave.
+		behaved := o.factor()*min(1, w.Load) <= 1
 		s.Organisations = append(s.Organisations, OrganisationSummary{Name: o.Name, Behaved: behaved})
 	}
 	for i, r := range results {
@@ -250,14 +251,10 @@
 	return a.MaxTokens
 }
 
-// worst compares the worst-served organisation with the mean of those that send
-// at most their rate. When none does, with the mean of all.
+// worst compares the worst-served organisation with the mean of the well-behaved.
 func (s *Summary) worst() {
 	behaved := slices.Clone(s.Organisations)
 	behaved = slices.DeleteFunc(behaved, func(o OrganisationSummary) bool { return !o.Behaved })
-	if len(behaved) == 0 {
-		behaved = s.Organisations
-	}
 	sum, least := 0.0, 0
 	for i, o := range behaved {
 		sum += o.Share
