Tell stops apart from failing servers, respect readiness

Cause: in a trial with faults the checker of graceful stops reported two answers that broke at a stopping host with code backend_failed, while a decode engine had a fault; and 53 of 1,189 completions were refused as shutting_down because the load generator sent to hosts that were not ready, which a load balancer does not do.

--- a/cmd/mulberryload/main.go
+++ b/cmd/mulberryload/main.go
@@ -45,7 +45,7 @@
 	Timeout     time.Duration `arg:"--timeout" default:"60s" help:"callers go away after it"`
 	Events      string        `arg:"--events" help:"admin address of mulberryfake; gives wasted prefill and checks"`
 	Out         string        `arg:"--out" help:"directory for text, JSON, CSV and plots"`
-	Status      []string      `arg:"--status" help:"operator addresses of entry hosts as id=ip:port; records their revisions for the checks"`
+	Status      []string      `arg:"--status" help:"operator addresses of entry hosts as id=ip:port; requests go to those that are ready, and their revisions are checked"`
 	Check       bool          `arg:"--check" help:"check the invariants over the records; fails on a violation"`
 }
 
@@ -95,7 +95,7 @@
 	if err != nil {
 		return err
 	}
-	results := c.watched(ctx, log, func() []load.Result { return load.Run(ctx, w, cfg) })
+	results := c.watched(ctx, w, cfg)
 	engines, err := c.events(ctx, uint64(len(before)))
 	if err != nil {
 		return err
@@ -116,19 +116,20 @@
 	return nil
 }
 
-// watched runs a load while the revisions of the hosts are recorded.
-func (c *runCommand) watched(ctx context.Context, log *record.Log, run func() []load.Result) []load.Result {
-	ctx, stop := context.WithCancel(ctx)
+// watched runs a load while the readiness and the revisions of hosts are watched.
+func (c *runCommand) watched(ctx context.Context, w load.Workload, cfg load.Config) []load.Result {
+	watching, stop := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer stop()
-	wg.Go(func() { load.WatchRevisions(ctx, log, parseHosts(c.Status), revisionInterval) })
-	return run()
+	cfg.Watch = load.NewWatch(cfg.Log)
+	wg.Go(func() { cfg.Watch.Run(watching, parseHosts(c.Status), statusInterval) })
+	return load.Run(ctx, w, cfg)
 }
 
-// revisionInterval is the time between two looks at a host's revision. It adds to
-// what the checker takes for the time until a configuration is in force.
-const revisionInterval = 250 * time.Millisecond
+// statusInterval is the time between two looks at a host. It adds to what the
+// checker takes for the time until a configuration is in force.
+const statusInterval = 250 * time.Millisecond
 
 func (c *runCommand) workload() (load.Workload, error) {
 	w, err := load.Preset(c.Workload)
--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -83,6 +83,8 @@
 	return r
 }
 
+func slow(r *rec) { r.Reason = "slow" }
+
 func byKeyB(r *rec) { r.Organisation, r.Key = "b", "kb" }
 
 func join(lists ...[]rec) []rec {
@@ -190,6 +192,16 @@
 		Entry("a stream cut by a graceful stop", 9,
 			[]rec{sent(0, "x"), host(1, record.Stopping, "h", 0), broken(2, "x")},
 			[]rec{sent(0, "x"), host(1, record.Stopping, "h", 0), host(2, record.Crash, "h", 0), broken(3, "x")}),
+		Entry("a stream cut by a graceful stop, next to a fault of a server that it does not use", 9,
+			[]rec{sent(0, "x"), work(0.5, record.Arrival, "decode", "d", "x"), host(1, record.Stopping, "h", 0),
+				with(server(1, record.FaultSet, "q"), slow), broken(2, "x")},
+			[]rec{sent(0, "x"), work(0.5, record.Arrival, "decode", "d", "x"), host(1, record.Stopping, "h", 0),
+				with(server(1, record.FaultSet, "d"), slow), broken(2, "x")}),
+		Entry("a stream cut by a graceful stop after the fault of its server", 9,
+			[]rec{with(server(0, record.FaultSet, "d"), slow), server(1, record.FaultSet, "d"), sent(2, "x"),
+				work(2, record.Arrival, "decode", "d", "x"), host(3, record.Stopping, "h", 0), broken(4, "x")},
+			[]rec{with(server(0, record.FaultSet, "d"), slow), sent(2, "x"),
+				work(2, record.Arrival, "decode", "d", "x"), host(3, record.Stopping, "h", 0), broken(4, "x")}),
 		Entry("a configuration that comes late", 10,
 			[]rec{published(1, 5), host(8, record.InForce, "h", 4)},
 			[]rec{published(1, 5), host(6, record.InForce, "h", 4), host(8, record.InForce, "h", 5)}),
--- a/internal/fake/faults.go
+++ b/internal/fake/faults.go
@@ -1,6 +1,8 @@
 package fake
 
 import (
+	"fmt"
+
 	"github.com/mulberrystream/mulberrystream/internal/record"
 	"github.com/mulberrystream/mulberrystream/pkg/engine"
 )
@@ -15,6 +17,14 @@
 	Slow          float64 // factor on all times; 0 is none
 }
 
+// reason returns the faults as text, empty for none.
+func (f Faults) reason() string {
+	if f == (Faults{}) {
+		return ""
+	}
+	return fmt.Sprintf("%+v", f)
+}
+
 func (f Faults) slowFactor() float64 {
 	if f.Slow <= 0 {
 		return 1
@@ -28,6 +38,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.faults = f
+	e.note(record.Record{Kind: record.FaultSet, Reason: f.reason()})
 	for _, h := range e.held {
 		h.notify()
 	}
--- a/internal/fake/service.go
+++ b/internal/fake/service.go
@@ -73,6 +73,7 @@
 // SetFaults replaces the faults of the replica.
 func (s *Service) SetFaults(f Faults) {
 	s.srv.setSilent(f.Silent)
+	s.log.Add(record.Record{Kind: record.FaultSet, Server: string(s.cfg.Info.ID), Reason: f.reason()})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -27,6 +27,7 @@
 	Timeout time.Duration // a caller goes away after it; 60 s if zero
 	Silence time.Duration // longest silence of a stream, its start included; Timeout if zero
 	Log     *record.Log   // of callers; a new one if nil
+	Watch   *Watch        // readiness of hosts; all are ready if nil
 }
 
 func (c Config) withDefaults() Config {
@@ -102,12 +103,11 @@
 	return x.complete(ctx, a)
 }
 
-// attempt sends a request to one host after another until one takes its bytes, as
-// the platform's load balancer does with a host that does not accept.
+// attempt sends a request to one ready host after another until one takes its
+// bytes, as the platform's load balancer does with a host that does not accept.
 func (x *runner) attempt(a Arrival, send func(h Host, c *Client) Result) Result {
 	var r Result
-	for i := range x.clients {
-		n := (a.Host + i) % len(x.clients)
+	for _, n := range x.order(a.Host) {
 		r = send(x.cfg.Hosts[n], x.clients[n])
 		if !r.unsent() {
 			return r
@@ -116,6 +116,20 @@
 	return r
 }
 
+// order returns the hosts from a random one on, ready ones first.
+func (x *runner) order(first int) []int {
+	var ready, other []int
+	for i := range x.cfg.Hosts {
+		n := (first + i) % len(x.cfg.Hosts)
+		if x.cfg.Watch == nil || x.cfg.Watch.Ready(x.cfg.Hosts[n].ID) {
+			ready = append(ready, n)
+		} else {
+			other = append(other, n)
+		}
+	}
+	return append(ready, other...)
+}
+
 func (x *runner) complete(ctx context.Context, a Arrival) Result {
 	org := x.work.Organisations[a.Organisation]
 	prompt := x.work.Prompt(a)
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -31,7 +31,7 @@
 	Restart  Kind = "restart" // the server runs again
 	Leaving  Kind = "leaving" // the host list says that the host is leaving
 	Removed  Kind = "removed" // the host list no longer has the host
-	FaultSet Kind = "fault"   // a fault was switched; Reason has it
+	FaultSet Kind = "fault"   // faults were switched; Reason has them, empty for none
 )
 
 // Kinds of records of the platform and of entry hosts.
