--- /dev/null
+++ b/internal/e2e/caller_test.go
@@ -0,0 +1,177 @@
+package e2e_test
+
+import (
+	"context"
+	"strings"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberrystream/mulberrystream/internal/content"
+	"github.com/mulberrystream/mulberrystream/internal/fake"
+	"github.com/mulberrystream/mulberrystream/internal/fleet"
+	"github.com/mulberrystream/mulberrystream/internal/record"
+)
+
+// held reports how many requests hold engine memory.
+func held(f *fleet.Fleet) func() int { return f.Deployment.Held }
+
+var _ = Describe("A caller that goes away", func() {
+	It("frees engine memory when it leaves during the prefill", func() {
+		f := startFleet(4, rulesText(ampleRate...))
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		prompt := words("long", 4000)
+		for _, e := range f.Deployment.Engines {
+			e.SetFaults(fake.Faults{Slow: 200})
+		}
+		result := make(chan answer, 1)
+		go func() {
+			result <- ask(ctx, f.Hosts[0].Caller, keyEverest, completionRequest{Model: "inspect-lm", Prompt: prompt, MaxTokens: 50, Stream: true}, nil)
+		}()
+		Eventually(held(f), fleet.WaitLimit).Should(BeNumerically(">", 0))
+		cancel()
+		Expect((<-result).readErr).To(HaveOccurred())
+		Eventually(held(f), fleet.WaitLimit).Should(BeZero())
+		for _, r := range f.Deployment.Records() {
+			Expect(r.Kind).NotTo(Equal(record.Token), "the decode must not have begun")
+		}
+	})
+
+	It("frees engine memory when it leaves during the stream", func() {
+		f := startFleet(4, rulesText(ampleRate...))
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		r := completionRequest{Model: "inspect-lm", Prompt: words("short", 100), MaxTokens: 5000, Stream: true}
+		a := ask(ctx, f.Hosts[0].Caller, keyEverest, r, func(tokens int) {
+			if tokens > 3 {
+				cancel()
+			}
+		})
+		Expect(a.complete).To(BeFalse())
+		Eventually(held(f), fleet.WaitLimit).Should(BeZero())
+	})
+
+	It("frees engine memory when the host that ran the request dies", func() {
+		f := startFleet(8, rulesText(ampleRate...))
+		r := completionRequest{Model: "inspect-lm", Prompt: words("orphan", 100), MaxTokens: 20000, Stream: true}
+		first := make(chan struct{})
+		var once sync.Once
+		go ask(context.Background(), f.Hosts[0].Caller, keyEverest, r, func(int) { once.Do(func() { close(first) }) })
+		Eventually(first, fleet.WaitLimit).Should(BeClosed())
+		f.Hosts[0].Kill()
+		Eventually(held(f), fleet.WaitLimit).Should(BeZero())
+	})
+})
+
+var _ = Describe("A graceful stop", func() {
+	It("cuts none of 50 streams", func() {
+		f := startFleet(4, rulesText(ampleRate...))
+		const streams = 50
+		var wg sync.WaitGroup
+		var started sync.WaitGroup
+		answers := make([]answer, streams)
+		prompts := make([]string, streams)
+		for i := range streams {
+			prompts[i] = words("stop-"+string(rune('a'+i%26))+string(rune('a'+i/26)), 50)
+			wg.Add(1)
+			started.Add(1)
+			go func() {
+				defer wg.Done()
+				var once sync.Once
+				r := completionRequest{Model: "inspect-lm", Prompt: prompts[i], MaxTokens: 150, Stream: true}
+				answers[i] = ask(context.Background(), f.Hosts[0].Caller, keyEverest, r, func(int) { once.Do(started.Done) })
+				once.Do(started.Done)
+			}()
+		}
+		started.Wait()
+		f.Hosts[0].Terminate()
+		wg.Wait()
+		for i, a := range answers {
+			Expect(a.complete).To(BeTrue(), "stream %d: status %d code %s error %v", i, a.status, a.code, a.readErr)
+			Expect(a.text).To(Equal(content.Answer(prompts[i], 150)))
+		}
+		Eventually(f.Hosts[0].Done(), fleet.WaitLimit).Should(BeClosed())
+		Expect(f.Hosts[0].Err()).NotTo(HaveOccurred())
+	})
+})
+
+var _ = Describe("A decode engine that dies", func() {
+	It("loses and repeats no token of a stream", func() {
+		f := startFleet(4, rulesText(ampleRate...))
+		prompt := words("resume", 100)
+		var once sync.Once
+		r := completionRequest{Model: "inspect-lm", Prompt: prompt, MaxTokens: 300, Stream: true}
+		a := ask(context.Background(), f.Hosts[0].Caller, keyEverest, r, func(tokens int) {
+			if tokens < 10 {
+				return
+			}
+			once.Do(func() { crashDecoder(f) })
+		})
+		Expect(a.readErr).NotTo(HaveOccurred())
+		Expect(a.complete).To(BeTrue(), "code %s", a.code)
+		Expect(a.text).To(Equal(content.Answer(prompt, 300)))
+	})
+})
+
+// crashDecoder crashes the engine that has handed out the latest token.
+func crashDecoder(f *fleet.Fleet) {
+	records := f.Deployment.Records()
+	for i := len(records) - 1; i >= 0; i-- {
+		if records[i].Kind != record.Token {
+			continue
+		}
+		b, err := f.Deployment.Backend(records[i].Server)
+		Expect(err).NotTo(HaveOccurred())
+		b.Crash()
+		return
+	}
+}
+
+var _ = Describe("Keys", func() {
+	It("are not seen by any backend server", func() {
+		f := startFleet(4, rulesText(ampleRate...))
+		ask(context.Background(), f.Hosts[0].Caller, keyEverest, completionRequest{Model: "inspect-lm", Prompt: "a b", MaxTokens: 5}, nil)
+		call(f.Hosts[0].Caller, "POST", "/counter/refunds", keyEverest, "body", nil)
+		records := f.Deployment.Records()
+		Expect(records).NotTo(BeEmpty())
+		for _, r := range records {
+			Expect(r.Headers).NotTo(ContainElement(ContainSubstring("demo-secret")))
+		}
+	})
+
+	It("stop working when they are withdrawn, also for a running stream and an open connection", func() {
+		f := startFleet(4, rulesText(ampleRate...))
+		started := make(chan struct{})
+		var once sync.Once
+		result := make(chan answer, 1)
+		go func() {
+			r := completionRequest{Model: "inspect-lm", Prompt: words("w", 50), MaxTokens: 30000, Stream: true}
+			result <- ask(context.Background(), f.Hosts[0].Caller, keyEverest, r, func(int) { once.Do(func() { close(started) }) })
+		}()
+		Eventually(started, fleet.WaitLimit).Should(BeClosed())
+		f.Deployment.Platform.Publish(2, withoutKey(rulesText(ampleRate...), "everest-1"))
+		var a answer
+		Eventually(result, fleet.WaitLimit).Should(Receive(&a))
+		Expect(a.done).To(BeFalse())
+		Expect(a.code).To(Equal("key_withdrawn"))
+		for _, h := range f.Hosts {
+			Eventually(func() int {
+				return ask(context.Background(), h.Caller, keyEverest, completionRequest{Model: "inspect-lm", Prompt: "a b", MaxTokens: 1}, nil).status
+			}, fleet.WaitLimit).Should(Equal(401))
+		}
+		Eventually(held(f), fleet.WaitLimit).Should(BeZero())
+	})
+})
+
+// withoutKey removes a key rule.
+func withoutKey(rules, id string) string {
+	var out []string
+	for line := range strings.SplitSeq(rules, "\n") {
+		if !strings.HasPrefix(line, "key "+id+" ") {
+			out = append(out, line)
+		}
+	}
+	return strings.Join(out, "\n")
+}
--- /dev/null
+++ b/internal/e2e/suite_test.go
@@ -0,0 +1,61 @@
+package e2e_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberrystream/mulberrystream/internal/fake"
+	"github.com/mulberrystream/mulberrystream/internal/fleet"
+)
+
+func TestE2E(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "e2e")
+}
+
+// Keys of the example rules.
+const (
+	keyEverest = "everest-1.demo-secret-everest-1"
+	keyHimal   = "himal-1.demo-secret-himal-1"
+)
+
+// ampleRate lifts the limits of the first organisation, for tests of other parts.
+var ampleRate = []string{"rate 9000 burst 60000", "rate 9000000 burst 9000000"}
+
+// rulesText reads an example and replaces parts of it.
+func rulesText(replace ...string) string {
+	GinkgoHelper()
+	text, err := os.ReadFile("../../examples/bagmati.rules")
+	Expect(err).NotTo(HaveOccurred())
+	return strings.NewReplacer(replace...).Replace(string(text))
+}
+
+// startFleet starts Bagmati with the given number of entry hosts.
+func startFleet(hosts int, rules string, args ...string) *fleet.Fleet {
+	GinkgoHelper()
+	timing := fake.DefaultTiming()
+	timing.Scale = 0.2
+	plan := fake.BagmatiPlan()
+	plan.Version = "v7"
+	f, err := fleet.Start(fleet.Options{
+		Plan:  plan,
+		Fake:  fake.Options{Timing: &timing, Seed: 1, Rules: rules},
+		Hosts: hosts,
+		Args:  args,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() {
+		if CurrentSpecReport().Failed() {
+			for _, h := range f.Hosts {
+				fmt.Fprintf(GinkgoWriter, "log of %s:\n%s\n", h.ID, h.Log())
+			}
+		}
+		f.Close()
+	})
+	return f
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,318 @@
+// Package fleet starts entry hosts as real processes before stand-ins of a
+// deployment. It belongs to the test side.
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/mulberrystream/mulberrystream/internal/fake"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/platform"
+	"github.com/mulberrystream/mulberrystream/pkg/status"
+)
+
+// WaitLimit bounds every wait for a condition. It is far above what any condition
+// needs, since a machine can be busy, and ends a test that would hang.
+const WaitLimit = 60 * time.Second
+
+// pollEvery is the time between two looks at a condition.
+const pollEvery = 20 * time.Millisecond
+
+var (
+	buildOnce sync.Once
+	buildDir  string
+	buildErr  error
+)
+
+// Binary builds a command of this module once per test process and returns its
+// path.
+func Binary(name string) (string, error) {
+	buildOnce.Do(func() { buildDir, buildErr = os.MkdirTemp("", "mulberrystream-bin-") })
+	if buildErr != nil {
+		return "", fmt.Errorf("fleet: build directory: %w", buildErr)
+	}
+	path := filepath.Join(buildDir, name)
+	if _, err := os.Stat(path); err == nil {
+		return path, nil
+	}
+	args := []string{"build", "-o", path, "github.com/mulberrystream/mulberrystream/cmd/" + name}
+	out, err := exec.Command("go", args...).CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("fleet: build %s: %w: %s", name, err, out)
+	}
+	return path, nil
+}
+
+// Host is one entry host process.
+type Host struct {
+	ID     ident.HostID
+	Domain ident.FailureDomain
+	Slot   ident.Slot
+	Caller string // address for callers
+	Peer   string
+	Admin  string
+
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error // of the process, valid after done is closed
+	mu   sync.Mutex
+	log  []byte
+}
+
+// HostOptions set up one entry host.
+type HostOptions struct {
+	ID       ident.HostID
+	Domain   ident.FailureDomain
+	Slot     ident.Slot
+	Platform string
+	PeerAddr string   // address that peers use, when a proxy stands before the host
+	Args     []string // further flags
+}
+
+// StartHost starts a process and waits until it has said its addresses.
+func StartHost(o HostOptions) (*Host, error) {
+	path, err := Binary("mulberrystream")
+	if err != nil {
+		return nil, err
+	}
+	args := []string{
+		"--host", string(o.ID), "--domain", string(o.Domain), "--slot", fmt.Sprint(o.Slot),
+		"--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0",
+		"--platform", o.Platform, "--plaintext",
+	}
+	if o.PeerAddr != "" {
+		args = append(args, "--peer-addr", o.PeerAddr)
+	}
+	h := &Host{ID: o.ID, Domain: o.Domain, Slot: o.Slot, done: make(chan struct{})}
+	h.cmd = exec.Command(path, append(args, o.Args...)...)
+	stderr, err := h.cmd.StderrPipe()
+	if err != nil {
+		return nil, fmt.Errorf("fleet: start %s: %w", o.ID, err)
+	}
+	if err := h.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("fleet: start %s: %w", o.ID, err)
+	}
+	serving := make(chan struct{})
+	go h.follow(stderr, serving)
+	select {
+	case <-serving:
+		return h, nil
+	case <-h.done:
+		return nil, fmt.Errorf("fleet: %s ended at start: %w: %s", o.ID, h.err, h.Log())
+	case <-time.After(WaitLimit):
+		h.Kill()
+		return nil, fmt.Errorf("fleet: %s did not say its addresses", o.ID)
+	}
+}
+
+// servingLine is the log line that names the addresses.
+type servingLine struct {
+	Message string `json:"msg"`
+	Callers string `json:"callers"`
+	Peers   string `json:"peers"`
+	Admin   string `json:"admin"`
+}
+
+func (h *Host) follow(r io.Reader, serving chan struct{}) {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		h.note(lines.Bytes())
+		var l servingLine
+		if json.Unmarshal(lines.Bytes(), &l) == nil && l.Message == "entryhost: serving" {
+			h.Caller, h.Peer, h.Admin = l.Callers, l.Peers, l.Admin
+			close(serving)
+		}
+	}
+	h.err = h.cmd.Wait()
+	close(h.done)
+}
+
+func (h *Host) note(line []byte) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.log = append(append(h.log, line...), '\n')
+}
+
+// Log returns what the process has logged.
+func (h *Host) Log() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return string(h.log)
+}
+
+// Pause stops the process without its knowledge.
+func (h *Host) Pause() { _ = h.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Wake lets a paused process go on.
+func (h *Host) Wake() { _ = h.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Terminate asks for a graceful stop.
+func (h *Host) Terminate() { _ = h.cmd.Process.Signal(syscall.SIGTERM) }
+
+// Kill ends the process at once and waits for its end.
+func (h *Host) Kill() {
+	_ = h.cmd.Process.Kill()
+	<-h.done
+}
+
+// Done is closed when the process has ended.
+func (h *Host) Done() <-chan struct{} { return h.done }
+
+// Err returns how the process ended. It must be called after Done is closed.
+func (h *Host) Err() error { return h.err }
+
+// Status asks the process for its status.
+func (h *Host) Status() (status.Status, error) {
+	var s status.Status
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.Admin+status.Path, nil)
+	if err != nil {
+		return s, fmt.Errorf("fleet: status of %s: %w", h.ID, err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return s, fmt.Errorf("fleet: status of %s: %w", h.ID, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+		return s, fmt.Errorf("fleet: status of %s: %w", h.ID, err)
+	}
+	return s, nil
+}
+
+// Fleet is a set of entry hosts before a deployment.
+type Fleet struct {
+	Deployment *fake.Deployment
+	Hosts      []*Host
+}
+
+// Options set up a fleet.
+type Options struct {
+	Plan  fake.Plan
+	Fake  fake.Options
+	Hosts int      // entry hosts, spread over the domains in turn
+	Args  []string // further flags of every host
+}
+
+// Start starts deployment and hosts and waits until all hosts are ready and see
+// one another.
+func Start(o Options) (*Fleet, error) {
+	d, err := fake.Start(o.Plan, o.Fake)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: deployment: %w", err)
+	}
+	f := &Fleet{Deployment: d}
+	for i := range o.Hosts {
+		domain := o.Plan.Domains[i%len(o.Plan.Domains)]
+		slot := ident.Slot(i / len(o.Plan.Domains))
+		h, err := StartHost(HostOptions{
+			ID:       ident.HostID(fmt.Sprintf("%s-%d", domain, slot)),
+			Domain:   domain,
+			Slot:     slot,
+			Platform: d.Platform.Addr(),
+			Args:     o.Args,
+		})
+		if err != nil {
+			f.Close()
+			return nil, err
+		}
+		f.Hosts = append(f.Hosts, h)
+	}
+	f.List()
+	if err := f.WaitReady(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// List publishes the hosts and backend servers in the platform's host list.
+func (f *Fleet) List() {
+	var hosts []platform.EntryHost
+	for _, h := range f.Hosts {
+		hosts = append(hosts, platform.EntryHost{ID: h.ID, Addr: h.Peer, Domain: h.Domain, Slot: h.Slot})
+	}
+	f.Deployment.Platform.SetHosts(hosts, f.Deployment.Infos())
+}
+
+var errTimeout = errors.New("condition not met in time")
+
+// Await waits for a condition.
+func Await(what string, met func() bool) error {
+	limit := time.Now().Add(WaitLimit)
+	for !met() {
+		if time.Now().After(limit) {
+			return fmt.Errorf("fleet: waiting for %s: %w", what, errTimeout)
+		}
+		time.Sleep(pollEvery)
+	}
+	return nil
+}
+
+// WaitReady waits until every host is ready and mints tokens, sees all live hosts of its domain
+// and reaches every other domain.
+func (f *Fleet) WaitReady() error {
+	for _, h := range f.Hosts {
+		err := Await("host "+string(h.ID)+" to be ready", func() bool { return f.settled(h) })
+		if err != nil {
+			return fmt.Errorf("%w; its log: %s", err, h.Log())
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) settled(h *Host) bool {
+	s, err := h.Status()
+	if err != nil || !s.Ready || !s.Mints {
+		return false
+	}
+	live := 0
+	for _, p := range s.Peers {
+		if p.State == status.Live {
+			live++
+		}
+	}
+	reachable := 0
+	for _, d := range s.Domains {
+		if d.Reachable {
+			reachable++
+		}
+	}
+	peers, domains := f.expected(h)
+	return live >= peers && reachable >= domains
+}
+
+// expected counts the other hosts of a host's domain and the other domains.
+func (f *Fleet) expected(h *Host) (peers, domains int) {
+	others := map[ident.FailureDomain]bool{}
+	for _, o := range f.Hosts {
+		if o.Domain == h.Domain {
+			peers++
+		} else {
+			others[o.Domain] = true
+		}
+	}
+	return peers - 1, len(others)
+}
+
+// Close kills the hosts and closes the deployment.
+func (f *Fleet) Close() {
+	for _, h := range f.Hosts {
+		h.Kill()
+	}
+	f.Deployment.Close()
+}
--- /dev/null
+++ b/pkg/driver/backends.go
@@ -0,0 +1,236 @@
+package driver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/mulberrystream/mulberrystream/pkg/engine"
+	"github.com/mulberrystream/mulberrystream/pkg/node"
+)
+
+// Steps that a CallError names.
+const (
+	stepPrefill = "prefill"
+	stepImport  = "import"
+	stepDecode  = "decode"
+	stepCall    = "call"
+)
+
+type errGap struct{ want, got int }
+
+func (e errGap) Error() string {
+	return fmt.Sprintf("stream continues at token %d, want %d", e.got, e.want)
+}
+
+var errExpired = errors.New("deadline passed before the call was sent")
+
+// callError describes a failed call to the reducer.
+func callError(step string, err error) *node.CallError {
+	if err == nil {
+		return nil
+	}
+	var e *engine.Error
+	notRun := errors.Is(err, errExpired) || errors.As(err, &e) && e.NotRun
+	return &node.CallError{Step: step, Reason: err.Error(), NotRun: notRun}
+}
+
+func (d *Driver) prefill(e node.Prefill) {
+	c := d.call(e.Ref.Request)
+	if c == nil {
+		return
+	}
+	res, err := d.runPrefill(c, e)
+	d.post(node.PrefillEnded{Ref: e.Ref, Result: res, Err: callError(stepPrefill, err)})
+}
+
+func (d *Driver) runPrefill(c *Call, e node.Prefill) (engine.PrefillResult, error) {
+	ctx, cancel := context.WithDeadline(c.attemptContext(d.ctx, e.Ref.Attempt), e.Deadline)
+	defer cancel()
+	if expired(e.Deadline) {
+		return engine.PrefillResult{}, errExpired
+	}
+	return d.backends.Engine(e.Engine.Addr).Prefill(ctx, engine.PrefillRequest{
+		Ref:     e.Ref,
+		Model:   e.Engine.Model,
+		Version: e.Engine.Version,
+		Adapter: e.Adapter,
+		Prompt:  c.completion.Prompt,
+		Output:  c.outputUntil(e.Resume),
+	})
+}
+
+func (d *Driver) importKV(e node.Import) {
+	c := d.call(e.Ref.Request)
+	if c == nil {
+		return
+	}
+	res, err := d.runImport(c, e)
+	d.post(node.ImportEnded{Ref: e.Ref, Result: res, Err: callError(stepImport, err)})
+}
+
+func (d *Driver) runImport(c *Call, e node.Import) (engine.ImportResult, error) {
+	ctx, cancel := context.WithDeadline(c.attemptContext(d.ctx, e.Ref.Attempt), e.Deadline)
+	defer cancel()
+	if expired(e.Deadline) {
+		return engine.ImportResult{}, errExpired
+	}
+	res, err := d.backends.Engine(e.Decode.Addr).Import(ctx, engine.ImportRequest{
+		Ref:      e.Ref,
+		Model:    e.Decode.Model,
+		Version:  e.Decode.Version,
+		Adapter:  e.Adapter,
+		Source:   e.Source.Addr,
+		Checksum: e.Checksum,
+		Bytes:    e.Bytes,
+	})
+	if err != nil {
+		return res, err
+	}
+	if res.Checksum != e.Checksum {
+		return res, fmt.Errorf("decode engine %s holds checksum %x, prefill engine %s sent %x",
+			e.Decode.ID, res.Checksum, e.Source.ID, e.Checksum)
+	}
+	return res, nil
+}
+
+func (d *Driver) decode(e node.Decode) {
+	c := d.call(e.Ref.Request)
+	if c == nil {
+		return
+	}
+	err := d.runDecode(c, e)
+	d.post(node.DecodeEnded{
+		Ref:       e.Ref,
+		Delivered: c.delivered(),
+		Err:       callError(stepDecode, err),
+	})
+}
+
+func (d *Driver) runDecode(c *Call, e node.Decode) error {
+	ctx := c.attemptContext(d.ctx, e.Ref.Attempt)
+	defer c.stop(e.Ref.Attempt)
+	if expired(e.Deadline) {
+		return errExpired
+	}
+	started := false
+	request := engine.DecodeRequest{
+		Ref:       e.Ref,
+		Model:     e.Engine.Model,
+		Version:   e.Engine.Version,
+		Offset:    e.Offset,
+		MaxTokens: e.MaxTokens,
+	}
+	return d.backends.Engine(e.Engine.Addr).Decode(ctx, request, func(ch engine.Chunk) error {
+		if !started && len(ch.Tokens) > 0 {
+			started = true
+			d.post(node.DecodeStarted{Ref: e.Ref})
+		}
+		if ch.Done {
+			c.setFinish(ch.Finish)
+		}
+		return c.give(ctx, ch.Offset, ch.Tokens, d.cfg.CallerTimeout)
+	})
+}
+
+func (d *Driver) callService(e node.CallService) {
+	c := d.call(e.Ref.Request)
+	if c == nil {
+		return
+	}
+	res, err := d.runService(c, e)
+	end := node.ServiceEnded{Ref: e.Ref, Err: callError(stepCall, err)}
+	if err == nil {
+		c.setResponse(res)
+		end.Status = res.Status
+		if e.KeepBody {
+			end.Body = res.Body
+		}
+	}
+	d.post(end)
+}
+
+func (d *Driver) runService(c *Call, e node.CallService) (*Response, error) {
+	ctx, cancel := context.WithDeadline(c.attemptContext(d.ctx, e.Ref.Attempt), e.Deadline)
+	defer cancel()
+	if expired(e.Deadline) {
+		return nil, errExpired
+	}
+	return d.backends.Forward(ctx, e.Backend.Addr, e.Ref, c.service)
+}
+
+// cancelTries bounds how often a cancel is sent. What still remains is found by
+// the pool owner in the engine's report.
+const cancelTries = 3
+
+// cancel frees engine memory. It outlives the request, so it does not use the
+// request's context.
+func (d *Driver) cancel(e node.CancelAt) {
+	for range cancelTries {
+		ctx, stop := context.WithTimeout(d.ctx, d.cfg.CallTimeout)
+		err := d.backends.Engine(e.Backend.Addr).Cancel(ctx, e.Ref)
+		stop()
+		if err == nil {
+			return
+		}
+		d.log.Warn("driver: cancel failed",
+			zap.String("request", string(e.Ref.Request)),
+			zap.String("step", "cancel"),
+			zap.String("peer", string(e.Backend.ID)),
+			zap.Error(err))
+	}
+}
+
+// poll is the state of reading one engine's report and events.
+type poll struct {
+	busy  bool
+	after uint64
+}
+
+// pollEngine reads report and cache events, one poll per engine at a time.
+func (d *Driver) pollEngine(info engine.Info) {
+	d.mu.Lock()
+	p := d.polling[info.ID]
+	if p == nil {
+		p = &poll{}
+		d.polling[info.ID] = p
+	}
+	busy := p.busy
+	p.busy = true
+	d.mu.Unlock()
+	if busy {
+		return
+	}
+	d.spawn(func() {
+		d.runPoll(info, p)
+		d.mu.Lock()
+		p.busy = false
+		d.mu.Unlock()
+	})
+}
+
+func (d *Driver) runPoll(info engine.Info, p *poll) {
+	ctx, cancel := context.WithTimeout(d.ctx, d.cfg.CallTimeout)
+	defer cancel()
+	e := d.backends.Engine(info.Addr)
+	report, err := e.Report(ctx)
+	if err != nil {
+		d.post(node.EngineUnreachable{ID: info.ID})
+		return
+	}
+	d.post(node.EngineReported{Report: report})
+	events, err := e.Events(ctx, p.after)
+	if err != nil || len(events) == 0 {
+		return
+	}
+	p.after = events[len(events)-1].Sequence
+	d.post(node.EngineCacheChanged{ID: info.ID, Events: events})
+}
+
+// shortly returns a context for one short call.
+func (d *Driver) shortly(wait time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(d.ctx, wait+d.cfg.ReadSlack)
+}
--- /dev/null
+++ b/pkg/driver/driver.go
@@ -0,0 +1,250 @@
+package driver
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mulberrystream/mulberrystream/pkg/engine"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/node"
+	"github.com/mulberrystream/mulberrystream/pkg/ruleset"
+	"github.com/mulberrystream/mulberrystream/pkg/status"
+)
+
+// Rules is the generation that the front end verifies keys against.
+type Rules struct {
+	Rules    *ruleset.Rules
+	Revision ident.Revision
+}
+
+// Transport delivers batches to other entry hosts.
+type Transport interface {
+	// Deliver sends a batch to addr. It does not retry.
+	Deliver(ctx context.Context, addr string, b node.Batch) error
+}
+
+// Backends gives access to backend servers.
+type Backends interface {
+	// Engine returns the engine at addr.
+	Engine(addr string) engine.Engine
+	// Forward sends a request to a plain service, once. An error with NotRun set
+	// says that the service surely did not start.
+	Forward(ctx context.Context, addr string, ref ident.BackendRef, r *ServiceRequest) (*Response, error)
+}
+
+// Driver runs one node.
+type Driver struct {
+	cfg       Config
+	log       *zap.Logger
+	node      *node.Node
+	transport Transport
+	backends  Backends
+	platform  Platform
+	group     *errgroup.Group
+	ctx       context.Context
+	events    chan node.Event
+	queries   chan func(*node.Node)
+	exited    chan struct{}
+	exitOnce  sync.Once
+
+	rules atomic.Pointer[Rules]
+	ready atomic.Bool
+	next  atomic.Uint64
+
+	mu       sync.Mutex
+	calls    map[ident.RequestID]*Call
+	outboxes map[ident.HostID]*outbox
+	polling  map[ident.BackendID]*poll
+}
+
+// New returns a driver that has not started.
+func New(cfg Config, log *zap.Logger, t Transport, b Backends, p Platform) *Driver {
+	return &Driver{
+		cfg:       cfg,
+		log:       log,
+		transport: t,
+		backends:  b,
+		platform:  p,
+		events:    make(chan node.Event, 4096),
+		queries:   make(chan func(*node.Node)),
+		exited:    make(chan struct{}),
+		calls:     map[ident.RequestID]*Call{},
+		outboxes:  map[ident.HostID]*outbox{},
+		polling:   map[ident.BackendID]*poll{},
+	}
+}
+
+// Run runs the node until ctx ends or a graceful stop is complete.
+func (d *Driver) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d.group, d.ctx = errgroup.WithContext(ctx)
+	d.node = node.New(d.cfg.Node, time.Now())
+	d.group.Go(d.loop)
+	select {
+	case <-d.exited:
+	case <-d.ctx.Done():
+	}
+	cancel()
+	return d.group.Wait()
+}
+
+// Exited is closed when a graceful stop is complete.
+func (d *Driver) Exited() <-chan struct{} { return d.exited }
+
+// Shutdown starts a graceful stop.
+func (d *Driver) Shutdown() { d.post(node.Shutdown{}) }
+
+// Ready reports whether the host takes new callers.
+func (d *Driver) Ready() bool { return d.ready.Load() }
+
+// Rules returns the rules in force, nil before the first generation.
+func (d *Driver) Rules() *Rules { return d.rules.Load() }
+
+// Receive takes a batch of another entry host.
+func (d *Driver) Receive(b node.Batch) {
+	for _, m := range b.Messages {
+		d.post(node.PeerMessage{From: b.From.Host, Message: m})
+	}
+}
+
+// Status returns what the host knows of itself and its peers.
+func (d *Driver) Status(ctx context.Context) (status.Status, error) {
+	result := make(chan status.Status, 1)
+	query := func(n *node.Node) { result <- n.Status(time.Now()) }
+	select {
+	case d.queries <- query:
+		return <-result, nil
+	case <-ctx.Done():
+		return status.Status{}, fmt.Errorf("driver: status: %w", ctx.Err())
+	case <-d.exited:
+		return status.Status{}, fmt.Errorf("driver: status: the host has stopped")
+	}
+}
+
+func (d *Driver) loop() error {
+	ticker := time.NewTicker(d.cfg.TickInterval)
+	defer ticker.Stop()
+	d.step(node.Tick{})
+	for {
+		select {
+		case <-d.ctx.Done():
+			d.abandonCalls()
+			return nil
+		case ev := <-d.events:
+			d.step(ev)
+		case q := <-d.queries:
+			q(d.node)
+		case <-ticker.C:
+			d.step(node.Tick{})
+		}
+	}
+}
+
+func (d *Driver) step(ev node.Event) {
+	for _, e := range d.node.Step(time.Now(), ev) {
+		d.act(e)
+	}
+}
+
+// post hands an event to the reducer. It blocks while the reducer is behind,
+// which slows the sources of events down instead of losing any.
+func (d *Driver) post(ev node.Event) {
+	select {
+	case d.events <- ev:
+	case <-d.exited:
+	case <-d.ctx.Done():
+	}
+}
+
+// spawn runs f in the driver's errgroup.
+func (d *Driver) spawn(f func()) {
+	d.group.Go(func() error {
+		f()
+		return nil
+	})
+}
+
+// Complete starts a request for generated text.
+func (d *Driver) Complete(r *Completion) *Call {
+	c := d.newCall()
+	c.completion = r
+	d.post(node.CompletionArrived{
+		ID:           c.id,
+		Key:          r.Key,
+		Organisation: r.Organisation,
+		Model:        r.Model,
+		Adapter:      r.Adapter,
+		PromptTokens: r.PromptTokens,
+		MaxTokens:    r.MaxTokens,
+		Prefix:       r.Prefix,
+	})
+	return c
+}
+
+// Call starts a request to a plain service.
+func (d *Driver) Call(r *ServiceRequest) *Call {
+	c := d.newCall()
+	c.service = r
+	d.post(node.ServiceArrived{
+		ID:             c.id,
+		Key:            r.Key,
+		Organisation:   r.Organisation,
+		Path:           r.Path,
+		IdempotencyKey: r.IdempotencyKey,
+		BodyDigest:     r.BodyDigest,
+		Wall:           c.arrived,
+	})
+	return c
+}
+
+func (d *Driver) newCall() *Call {
+	c := &Call{
+		id:      ident.NewRequestID(d.cfg.Node.Self, d.next.Add(1)),
+		arrived: time.Now(),
+		done:    make(chan struct{}),
+		tokens:  make(chan []string, 64),
+		driver:  d,
+		cancels: map[ident.Attempt]context.CancelFunc{},
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.calls[c.id] = c
+	return c
+}
+
+func (d *Driver) call(id ident.RequestID) *Call {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.calls[id]
+}
+
+func (d *Driver) forget(c *Call) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.calls, c.id)
+}
+
+// abandonCalls breaks what still runs when the process has to stop.
+func (d *Driver) abandonCalls() {
+	d.mu.Lock()
+	calls := make([]*Call, 0, len(d.calls))
+	for _, c := range d.calls {
+		calls = append(calls, c)
+	}
+	d.mu.Unlock()
+	for _, c := range calls {
+		d.end(c.id, End{Refusal: &node.Refuse{
+			ID:     c.id,
+			Code:   node.CodeShuttingDown,
+			Ran:    node.RanUnsure,
+			Detail: "this host stopped before the request ended",
+		}})
+	}
+}
--- /dev/null
+++ b/pkg/driver/effects.go
@@ -0,0 +1,93 @@
+package driver
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/node"
+)
+
+// act carries out one effect. It never blocks.
+func (d *Driver) act(effect node.Effect) {
+	switch e := effect.(type) {
+	case node.Send:
+		d.enqueue(e)
+	case node.Prefill:
+		d.spawn(func() { d.prefill(e) })
+	case node.Import:
+		d.spawn(func() { d.importKV(e) })
+	case node.Decode:
+		d.spawn(func() { d.decode(e) })
+	case node.CallService:
+		d.spawn(func() { d.callService(e) })
+	case node.StopCall:
+		if c := d.call(e.Ref.Request); c != nil {
+			c.stop(e.Ref.Attempt)
+		}
+	case node.CancelAt:
+		d.spawn(func() { d.cancel(e) })
+	case node.Complete:
+		d.end(e.ID, End{Complete: true})
+	case node.Respond:
+		d.respond(e)
+	case node.Refuse:
+		d.refuse(e)
+	case node.PollEngine:
+		d.pollEngine(e.Engine)
+	case node.ReadConfig:
+		d.spawn(func() { d.readConfig(e.Read) })
+	case node.ReadHosts:
+		d.spawn(func() { d.readHosts(e) })
+	case node.RulesInForce:
+		d.rules.Store(&Rules{Rules: e.Rules, Revision: e.Revision})
+		d.log.Info("configuration: new generation in force", zap.Uint64("revision", uint64(e.Revision)))
+	case node.SetReady:
+		d.ready.Store(e.Ready)
+		d.log.Info("node: readiness changed", zap.Bool("ready", e.Ready))
+	case node.Alarm:
+		d.log.Warn(e.Part+": "+e.Detail, zap.String("alarm", e.Part))
+	case node.Exit:
+		d.exitOnce.Do(func() { close(d.exited) })
+	}
+}
+
+func (d *Driver) respond(e node.Respond) {
+	if e.Stored {
+		d.end(e.ID, End{Response: &Response{Status: e.Status, Body: e.Body}})
+		return
+	}
+	c := d.call(e.ID)
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	r := c.response
+	c.mu.Unlock()
+	d.end(e.ID, End{Response: r})
+}
+
+func (d *Driver) refuse(e node.Refuse) {
+	d.log.Info("node: request refused",
+		zap.String("request", string(e.ID)),
+		zap.String("code", string(e.Code)),
+		zap.String("ran", string(e.Ran)),
+		zap.String("detail", e.Detail))
+	d.end(e.ID, End{Refusal: &e})
+}
+
+// end gives a call its only end.
+func (d *Driver) end(id ident.RequestID, e End) {
+	c := d.call(id)
+	if c == nil {
+		return
+	}
+	d.forget(c)
+	c.finishWith(e)
+}
+
+// expired reports whether an effect must no longer be carried out.
+func expired(deadline time.Time) bool {
+	return !deadline.IsZero() && time.Now().After(deadline)
+}
--- /dev/null
+++ b/pkg/driver/platform.go
@@ -0,0 +1,47 @@
+package driver
+
+import (
+	"context"
+	"time"
+
+	"github.com/mulberrystream/mulberrystream/pkg/confsync"
+	"github.com/mulberrystream/mulberrystream/pkg/hostlist"
+	"github.com/mulberrystream/mulberrystream/pkg/node"
+)
+
+// Platform reads the configuration service and the host list.
+type Platform interface {
+	// ReadConfig reads the generation, or waits up to wait for a change after the
+	// given version of the manifest.
+	ReadConfig(ctx context.Context, after uint64, wait time.Duration) (confsync.ReadOutcome, error)
+	// ReadHosts reads the host list likewise.
+	ReadHosts(ctx context.Context, after uint64, wait time.Duration) (l hostlist.List, notChanged bool, err error)
+}
+
+func (d *Driver) readConfig(r confsync.ReadEffect) {
+	if wait := time.Until(r.NotBefore); wait > 0 {
+		select {
+		case <-time.After(wait):
+		case <-d.ctx.Done():
+			return
+		}
+	}
+	ctx, cancel := d.shortly(r.Wait)
+	defer cancel()
+	out, err := d.platform.ReadConfig(ctx, r.After, r.Wait)
+	if err != nil {
+		out.Err = err
+	}
+	d.post(node.ConfigRead{Outcome: out})
+}
+
+func (d *Driver) readHosts(e node.ReadHosts) {
+	ctx, cancel := d.shortly(e.Wait)
+	defer cancel()
+	list, notChanged, err := d.platform.ReadHosts(ctx, e.After, e.Wait)
+	read := node.HostsRead{List: list, NotChanged: notChanged}
+	if err != nil {
+		read.Err = err.Error()
+	}
+	d.post(read)
+}
--- /dev/null
+++ b/pkg/entryhost/meter.go
@@ -0,0 +1,93 @@
+package entryhost
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/mulberrystream/mulberrystream/pkg/driver"
+	"github.com/mulberrystream/mulberrystream/pkg/frontend"
+	"github.com/mulberrystream/mulberrystream/pkg/node"
+	"github.com/mulberrystream/mulberrystream/pkg/slo"
+)
+
+// meter keeps the metrics and the service-level burn of completions. Outcomes
+// are counted per organisation and model, which is bounded by the allow rules;
+// histograms are per model only, since each has some hundred series.
+type meter struct {
+	set *metrics.Set
+
+	mu   sync.Mutex
+	burn *slo.Tracker
+}
+
+func newMeter(cfg slo.Config) *meter {
+	return &meter{set: metrics.NewSet(), burn: slo.New(cfg)}
+}
+
+// Completed records one completion.
+func (m *meter) Completed(r *driver.Completion, t frontend.Timing, end driver.End) {
+	m.count(r, t, end)
+	first := t.FirstToken
+	if t.Tokens == 0 {
+		first = t.Total
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.burn.Observe(time.Now(), slo.Observation{
+		Organisation: r.Organisation,
+		Model:        r.Model,
+		Outcome:      outcome(end),
+		FirstToken:   first,
+		Delivered:    t.Tokens > 0,
+		Gaps:         t.Gaps,
+		GapsInTarget: t.GapsInTarget,
+	})
+}
+
+func outcome(end driver.End) slo.Outcome {
+	switch {
+	case end.Complete:
+		return slo.Completed
+	case end.Refusal == nil:
+		return slo.Cancelled
+	case end.Refusal.Ran == node.NotRun:
+		return slo.Refused
+	}
+	return slo.Failed
+}
+
+func (m *meter) count(r *driver.Completion, t frontend.Timing, end driver.End) {
+	how := "caller_gone"
+	switch {
+	case end.Refusal != nil:
+		how = string(end.Refusal.Code)
+	case end.Complete:
+		how = "complete"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(
+		`mulberrystream_requests_total{organisation=%q,model=%q,outcome=%q}`, r.Organisation, r.Model, how)).Inc()
+	if t.Tokens == 0 {
+		return
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(
+		`mulberrystream_output_tokens_total{organisation=%q,model=%q}`, r.Organisation, r.Model)).Add(t.Tokens)
+	m.set.GetOrCreateHistogram(fmt.Sprintf(
+		`mulberrystream_first_token_seconds{model=%q}`, r.Model)).Update(t.FirstToken.Seconds())
+}
+
+// report returns the service-level burn.
+func (m *meter) report() slo.Report {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.burn.Report(time.Now()).Compact()
+}
+
+// write prints all metrics in the Prometheus text format.
+func (m *meter) write(w io.Writer) {
+	m.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/pkg/frontend/server.go
@@ -0,0 +1,169 @@
+package frontend
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/mulberrystream/mulberrystream/pkg/driver"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/keyring"
+	"github.com/mulberrystream/mulberrystream/pkg/node"
+	"github.com/mulberrystream/mulberrystream/pkg/ruleset"
+)
+
+// Router takes the requests that the front end has parsed.
+type Router interface {
+	Complete(r *driver.Completion) *driver.Call
+	Call(r *driver.ServiceRequest) *driver.Call
+	Rules() *driver.Rules
+	Ready() bool
+}
+
+// Server serves callers.
+type Server struct {
+	cfg    Config
+	log    *zap.Logger
+	router Router
+	meter  Meter
+	http   *fasthttp.Server
+}
+
+// New returns a server that is not listening.
+func New(cfg Config, log *zap.Logger, r Router, m Meter) *Server {
+	s := &Server{cfg: cfg, log: log, router: r, meter: m}
+	s.http = &fasthttp.Server{
+		Name:                         "mulberrystream",
+		Handler:                      s.handle,
+		ErrorHandler:                 s.badRequest,
+		ReadTimeout:                  cfg.ReadTimeout,
+		WriteTimeout:                 cfg.WriteTimeout,
+		IdleTimeout:                  cfg.IdleTimeout,
+		MaxRequestBodySize:           cfg.MaxBodyBytes,
+		ReadBufferSize:               cfg.MaxHeaderBytes,
+		Concurrency:                  cfg.Concurrency,
+		NoDefaultServerHeader:        true,
+		DisablePreParseMultipartForm: true,
+		CloseOnShutdown:              true,
+		Logger:                       discard{},
+	}
+	return s
+}
+
+// discard drops fasthttp's own log lines, which can quote parts of a request and
+// so a key.
+type discard struct{}
+
+func (discard) Printf(string, ...any) {}
+
+// Serve accepts callers on ln until Shutdown.
+func (s *Server) Serve(ln net.Listener) error {
+	if err := s.http.Serve(&probingListener{Listener: ln, cfg: s.cfg}); err != nil {
+		return fmt.Errorf("frontend: serve on %s: %w", ln.Addr(), err)
+	}
+	return nil
+}
+
+// Shutdown stops accepting callers and waits for running answers.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if err := s.http.ShutdownWithContext(ctx); err != nil {
+		return fmt.Errorf("frontend: shutdown: %w", err)
+	}
+	return nil
+}
+
+// badRequest answers what fasthttp could not parse.
+func (s *Server) badRequest(ctx *fasthttp.RequestCtx, err error) {
+	status := fasthttp.StatusBadRequest
+	var small *fasthttp.ErrSmallBuffer
+	var timeout net.Error
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		status = fasthttp.StatusRequestEntityTooLarge
+	case errors.As(err, &small):
+		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	case errors.As(err, &timeout) && timeout.Timeout():
+		status = fasthttp.StatusRequestTimeout
+	}
+	refuse(ctx, codeBadRequest, "the request could not be read: "+fasthttp.StatusMessage(status))
+	ctx.SetStatusCode(status)
+	ctx.SetConnectionClose()
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch {
+	case path == "/healthz":
+		ctx.SetBodyString("ok\n")
+	case path == "/readyz":
+		s.readyz(ctx)
+	case path == "/v1/models":
+		s.models(ctx)
+	case path == "/v1/completions":
+		s.complete(ctx, false)
+	case path == "/v1/chat/completions":
+		s.complete(ctx, true)
+	case strings.HasPrefix(path, "/v1/"):
+		refuse(ctx, node.CodeUnknownRoute, "no such API call")
+	default:
+		s.service(ctx, path)
+	}
+}
+
+func (s *Server) readyz(ctx *fasthttp.RequestCtx) {
+	if s.router.Ready() {
+		ctx.SetBodyString("ready\n")
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	ctx.SetBodyString("not ready\n")
+}
+
+// identity is who a request comes from.
+type identity struct {
+	key ident.KeyID
+	org ident.Organisation
+}
+
+// authenticate verifies the key. It answers the caller and returns false when
+// the key is not accepted.
+func (s *Server) authenticate(ctx *fasthttp.RequestCtx) (identity, bool) {
+	rules := s.rules(ctx)
+	if rules == nil {
+		return identity{}, false
+	}
+	presented, ok := bearer(ctx)
+	if !ok {
+		refuse(ctx, codeMissingKey, "header Authorization must be: Bearer <key>")
+		return identity{}, false
+	}
+	k, err := keyring.Verify(rules, presented)
+	if err != nil {
+		refuse(ctx, node.CodeInvalidKey, "the key is not accepted")
+		return identity{}, false
+	}
+	return identity{key: k.ID, org: k.Organisation}, true
+}
+
+func (s *Server) rules(ctx *fasthttp.RequestCtx) *ruleset.Rules {
+	r := s.router.Rules()
+	if r == nil {
+		refuse(ctx, node.CodeNotReady, "this host has no configuration yet")
+		return nil
+	}
+	return r.Rules
+}
+
+func bearer(ctx *fasthttp.RequestCtx) (string, bool) {
+	const scheme = "Bearer "
+	h := string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization))
+	if len(h) <= len(scheme) || !strings.EqualFold(h[:len(scheme)], scheme) {
+		return "", false
+	}
+	return strings.TrimSpace(h[len(scheme):]), true
+}
--- a/pkg/idempotency/entry.go
+++ b/pkg/idempotency/entry.go
@@ -111,9 +111,10 @@
 	}
 	// A late permission is not used: the record may have ended. Tick gives up.
 	late := m.now.Sub(c.start) >= beginTimeout
-	if late || c.running || r.Owner != c.owner || from != c.owner.Host {
+	if late || c.running || !c.ownedBy(r.Owner) || from != c.owner.Host {
 		return
 	}
+	c.owner = r.Owner
 	if r.Reason == ReasonRepeat && c.newSince != r.History && m.madeWithin(c, r.HistoryAge) {
 		c.newSince = r.History
 		m.ask(c, res)
@@ -219,13 +220,24 @@
 	res.send(to.Host, Message{End: &e})
 }
 
+// ownedBy reports whether p is the owner that was asked. The incarnation of an
+// owner in another failure domain is not known before its first answer.
+func (c *call) ownedBy(p ident.Process) bool {
+	return p.Host == c.owner.Host && (c.owner.Incarnation == 0 || p.Incarnation == c.owner.Incarnation)
+}
+
+// learnt reports whether view names the asked owner without its incarnation.
+func (c *call) learnt(view ident.Process) bool {
+	return view.Host == c.owner.Host && view.Incarnation == 0
+}
+
 // tickEntry repeats messages and gives up calls that wait too long or whose owner
 // has been replaced.
 func (m *Memory) tickEntry(res *Result) {
 	for _, c := range m.entry.sorted() {
 		owner, ok := m.ownerOf(c.key)
 		switch {
-		case !ok || owner != c.owner:
+		case !ok || !c.ownedBy(owner) && !c.learnt(owner):
 			m.giveUp(c, ReasonOwnerLost, res)
 		case m.now.Sub(c.start) >= beginTimeout:
 			m.giveUp(c, ReasonNoAnswer, res)
--- a/pkg/idempotency/owner.go
+++ b/pkg/idempotency/owner.go
@@ -94,7 +94,8 @@
 
 // receiveBegin answers a Begin that is meant for this process.
 func (m *Memory) receiveBegin(from ident.HostID, b Begin, res *Result) {
-	if b.Owner != m.cfg.Self {
+	unnamed := b.Owner.Host == m.cfg.Self.Host && b.Owner.Incarnation == 0
+	if b.Owner != m.cfg.Self && !unnamed {
 		return
 	}
 	reply := m.decide(b)
--- /dev/null
+++ b/pkg/node/golden_test.go
@@ -0,0 +1,149 @@
+package node_test
+
+import (
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/node"
+)
+
+var _ = Describe("Golden sessions", func() {
+	It("happy path: prefill, transfer, decode, end", func() {
+		s := newSession()
+		ref := s.toDecode()
+		s.step(node.DecodeEnded{Ref: ref, Delivered: 10})
+		Expect(effects[node.Complete](s)).To(HaveLen(1))
+		s.golden("happy_path")
+	})
+
+	It("prefill failure: another attempt, then a refusal that does not claim not run", func() {
+		s := newSession()
+		s.arrive()
+		broken := &node.CallError{Step: "prefill", Reason: "connection lost"}
+		s.step(node.PrefillEnded{Ref: s.ref(), Err: broken})
+		s.golden("prefill_failure")
+		refused := effects[node.Refuse](s)
+		Expect(refused).To(HaveLen(1), "the only prefill engine failed")
+		Expect(refused[0].Ran).NotTo(Equal(node.NotRun))
+	})
+
+	It("decode failure: the stream resumes at its offset on another engine", func() {
+		s := newSession()
+		ref := s.toDecode()
+		failed := ref
+		s.step(node.DecodeEnded{Ref: ref, Delivered: 4, Err: &node.CallError{Step: "decode", Reason: "stream ended early"}})
+		s.prefilled()
+		s.imported()
+		resumed := effects[node.Decode](s)
+		Expect(resumed).To(HaveLen(1))
+		Expect(resumed[0].Offset).To(Equal(4))
+		Expect(resumed[0].Ref.Attempt).To(BeNumerically(">", failed.Attempt))
+		s.step(node.DecodeEnded{Ref: failed, Delivered: 10})
+		Expect(s.last).To(BeEmpty(), "an answer of the old attempt is dropped")
+		s.step(node.DecodeEnded{Ref: resumed[0].Ref, Delivered: 10})
+		Expect(effects[node.Complete](s)).To(HaveLen(1))
+		s.golden("decode_failure")
+	})
+
+	It("caller gone: both engines are freed at once", func() {
+		s := newSession()
+		s.toDecode()
+		s.step(node.CallerGone{ID: request})
+		Expect(effects[node.CancelAt](s)).To(HaveLen(2))
+		Expect(s.node.InHand()).To(BeEmpty())
+		s.golden("caller_gone")
+	})
+
+	It("refusal: a request above the burst never reaches an engine", func() {
+		s := newSession()
+		s.step(node.CompletionArrived{
+			ID: request, Key: "acme-1", Organisation: "acme", Model: "lm", PromptTokens: 200_000, MaxTokens: 10,
+		})
+		refused := effects[node.Refuse](s)
+		Expect(refused).To(HaveLen(1))
+		Expect(refused[0].Ran).To(Equal(node.NotRun))
+		s.golden("refusal")
+	})
+
+	It("withdrawn key: the running stream ends and new requests are refused", func() {
+		s := newSession()
+		s.toDecode()
+		s.publish(2, withoutLine("key "))
+		Expect(effects[node.Refuse](s)).To(HaveLen(1))
+		Expect(effects[node.CancelAt](s)).To(HaveLen(2))
+		s.step(node.CompletionArrived{ID: "h0@1#2", Key: "acme-1", Organisation: "acme", Model: "lm", PromptTokens: 1, MaxTokens: 1})
+		Expect(effects[node.Refuse](s)[0].Code).To(Equal(node.CodeInvalidKey))
+		s.golden("withdrawn_key")
+	})
+
+	It("graceful stop: the stream ends whole before the process does", func() {
+		s := newSession()
+		ref := s.toDecode()
+		s.step(node.Shutdown{})
+		Expect(effects[node.SetReady](s)).To(HaveLen(1))
+		for range 5 {
+			s.advance(400 * time.Millisecond)
+			Expect(effects[node.Exit](s)).To(BeEmpty())
+		}
+		s.step(node.CompletionArrived{ID: "h0@1#2", Key: "acme-1", Organisation: "acme", Model: "lm", PromptTokens: 1, MaxTokens: 1})
+		Expect(effects[node.Refuse](s)[0].Code).To(Equal(node.CodeShuttingDown))
+		s.step(node.DecodeEnded{Ref: ref, Delivered: 10})
+		Expect(effects[node.Complete](s)).To(HaveLen(1))
+		for range 3 {
+			s.advance(400 * time.Millisecond)
+		}
+		Expect(effects[node.Exit](s)).To(HaveLen(1))
+		s.golden("graceful_stop")
+	})
+
+	It("recall: a stream that has begun is broken, work that has not moves to another version", func() {
+		s := newSession(prefill, decode, decode2, older, older2)
+		s.arrive()
+		s.publish(2, rules+"recall version lm v2 # quality team\n")
+		started := effects[node.Prefill](s)
+		Expect(started).To(HaveLen(1))
+		Expect(started[0].Engine.Version).To(Equal(ident.Version("v1")))
+		s.prefilled()
+		s.imported()
+		ref := s.ref()
+		s.step(node.DecodeStarted{Ref: ref})
+		s.publish(3, rules+"recall version lm v1 # quality team\n")
+		Expect(effects[node.StopCall](s)).To(HaveLen(1))
+		s.step(node.DecodeEnded{Ref: ref, Delivered: 3, Err: &node.CallError{Step: "decode", Reason: "stopped"}})
+		refused := effects[node.Refuse](s)
+		Expect(refused).To(HaveLen(1))
+		Expect(refused[0].Code).To(Equal(node.CodeRecalled))
+		Expect(refused[0].Ran).To(Equal(node.DidRun))
+		s.golden("recall")
+	})
+
+	It("gives the same effects for the same events, byte for byte", func() {
+		run := func() string {
+			s := newSession(prefill, decode, decode2, older, older2, desk)
+			ref := s.toDecode()
+			s.step(node.ServiceArrived{ID: "h0@1#2", Key: "acme-1", Organisation: "acme", Path: "/desk/book"})
+			s.step(node.DecodeEnded{Ref: ref, Delivered: 4, Err: &node.CallError{Step: "decode", Reason: "lost"}})
+			s.publish(2, withoutLine("key "))
+			return s.out.String()
+		}
+		first := run()
+		for range 10 {
+			Expect(run()).To(Equal(first))
+		}
+	})
+})
+
+// withoutLine returns the rules without the lines that begin with prefix.
+func withoutLine(prefix string) string {
+	var out []string
+	for l := range strings.SplitSeq(rules, "\n") {
+		if !strings.HasPrefix(l, prefix) {
+			out = append(out, l)
+		}
+	}
+	return strings.Join(out, "\n")
+}
--- /dev/null
+++ b/pkg/peer/peer.go
@@ -0,0 +1,125 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/mulberrystream/mulberrystream/pkg/node"
+)
+
+// procedure is the path of the only call.
+const procedure = "/mulberrystream.peer.v1.Peer/Deliver"
+
+// maxMessageBytes bounds one delivery. A batch holds at most one part of a
+// generation and one host list, which stays well below it at the target size.
+const maxMessageBytes = 8 << 20
+
+// Liveness of HTTP/2 connections: a connection that has been silent for
+// pingAfter is probed and dropped after pingTimeout, so that a connection that
+// lost its state on the way is replaced by a new one.
+const (
+	pingAfter   = time.Second
+	pingTimeout = time.Second
+)
+
+// Ack is the answer to a delivery. It says only that the batch arrived.
+type Ack struct{}
+
+// Client delivers batches to other entry hosts.
+type Client struct {
+	scheme string
+	http   *http.Client
+
+	mu      sync.Mutex
+	clients map[string]*connect.Client[node.Batch, Ack]
+}
+
+// NewClient returns a client. A nil tlsConfig means plain text.
+func NewClient(tlsConfig *tls.Config) *Client {
+	protocols := new(http.Protocols)
+	scheme := "https"
+	if tlsConfig == nil {
+		scheme = "http"
+		protocols.SetUnencryptedHTTP2(true)
+	} else {
+		protocols.SetHTTP2(true)
+	}
+	transport := &http.Transport{
+		TLSClientConfig:     tlsConfig,
+		Protocols:           protocols,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     time.Minute,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: pingAfter,
+			PingTimeout:     pingTimeout,
+		},
+	}
+	return &Client{
+		scheme:  scheme,
+		http:    &http.Client{Transport: transport},
+		clients: map[string]*connect.Client[node.Batch, Ack]{},
+	}
+}
+
+// Deliver sends a batch to addr once.
+func (c *Client) Deliver(ctx context.Context, addr string, b node.Batch) error {
+	_, err := c.client(addr).CallUnary(ctx, connect.NewRequest(&b))
+	if err != nil {
+		return fmt.Errorf("peer: deliver to %s (%s): %w", b.To, addr, err)
+	}
+	return nil
+}
+
+func (c *Client) client(addr string) *connect.Client[node.Batch, Ack] {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if cl := c.clients[addr]; cl != nil {
+		return cl
+	}
+	cl := connect.NewClient[node.Batch, Ack](
+		c.http,
+		c.scheme+"://"+addr+procedure,
+		connect.WithCodec(codec{}),
+		connect.WithReadMaxBytes(maxMessageBytes),
+	)
+	c.clients[addr] = cl
+	return cl
+}
+
+// Close drops all connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Receiver takes the batches that arrive.
+type Receiver interface {
+	Receive(b node.Batch)
+}
+
+// NewServer returns an HTTP server that hands batches to r. A nil tlsConfig
+// means plain text. The caller serves it on a listener.
+func NewServer(r Receiver, tlsConfig *tls.Config) *http.Server {
+	deliver := func(_ context.Context, req *connect.Request[node.Batch]) (*connect.Response[Ack], error) {
+		r.Receive(*req.Msg)
+		return connect.NewResponse(&Ack{}), nil
+	}
+	mux := http.NewServeMux()
+	mux.Handle(procedure, connect.NewUnaryHandler(procedure, deliver,
+		connect.WithCodec(codec{}),
+		connect.WithReadMaxBytes(maxMessageBytes),
+	))
+	protocols := new(http.Protocols)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(tlsConfig == nil)
+	return &http.Server{
+		Handler:           mux,
+		TLSConfig:         tlsConfig,
+		Protocols:         protocols,
+		ReadHeaderTimeout: 5 * time.Second,
+		IdleTimeout:       2 * time.Minute,
+	}
+}
--- a/pkg/status/status.go
+++ b/pkg/status/status.go
@@ -21,6 +21,7 @@
 	Digest      string              `json:"digest"`        // SHA-256 of the rules text in hex
 	ConfigAgeMS int64               `json:"config_age_ms"` // since platform or peers confirmed the revision
 	Stale       bool                `json:"stale"`         // keyed traffic is refused because of that age
+	Mints       bool                `json:"mints"`         // the slot's share of the rates is in use
 	Peers       []Peer              `json:"peers"`         // hosts of the own domain
 	Domains     []Domain            `json:"domains"`       // other domains
 	Pools       []Pool              `json:"pools"`         // pools that the host owns
