--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,7 @@
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem $(PKGS)
+
+## demo: run the main job on stand-ins and print what happened to each request.
+demo:
+	$(GO) run ./internal/demo
--- a/internal/e2e/client_test.go
+++ b/internal/caller/caller.go
@@ -1,4 +1,5 @@
-package e2e_test
+// Package caller is a small client of the caller API, for tests and the demo.
+package caller
 
 import (
 	"bufio"
@@ -10,20 +11,21 @@
 	"strings"
 )
 
-// answer is what a caller got.
-type answer struct {
-	status   int
-	text     string
-	done     bool // the stream ended with its terminator
-	code     string
-	ran      string
-	retry    string
-	readErr  error
-	tokens   int
-	complete bool
+// Answer is what a caller got.
+type Answer struct {
+	Status   int
+	Text     string
+	Done     bool // the stream ended with its terminator
+	Code     string
+	Ran      string
+	Retry    string
+	Err      error
+	Tokens   int
+	Complete bool
 }
 
-type completionRequest struct {
+// Request is a request for generated text.
+type Request struct {
 	Model     string `json:"model"`
 	Prompt    string `json:"prompt"`
 	MaxTokens int    `json:"max_tokens"`
@@ -40,25 +42,25 @@
 	} `json:"error"`
 }
 
-// ask sends a completion request and reads the answer. onPart is called after
+// Ask sends a completion request and reads the answer. onPart is called after
 // each streamed part.
-func ask(ctx context.Context, addr, key string, r completionRequest, onPart func(int)) answer {
+func Ask(ctx context.Context, addr, key string, r Request, onPart func(int)) Answer {
 	body, err := json.Marshal(r)
 	if err != nil {
-		return answer{readErr: err}
+		return Answer{Err: err}
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/completions", strings.NewReader(string(body)))
 	if err != nil {
-		return answer{readErr: err}
+		return Answer{Err: err}
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Authorization", "Bearer "+key)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return answer{readErr: err}
+		return Answer{Err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	a := answer{status: resp.StatusCode, retry: resp.Header.Get("Retry-After")}
+	a := Answer{Status: resp.StatusCode, Retry: resp.Header.Get("Retry-After")}
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		a.readStream(resp.Body, onPart)
 		return a
@@ -67,22 +69,22 @@
 	return a
 }
 
-func (a *answer) readWhole(r io.Reader) {
+func (a *Answer) readWhole(r io.Reader) {
 	var p streamPart
-	if a.readErr = json.NewDecoder(r).Decode(&p); a.readErr != nil {
+	if a.Err = json.NewDecoder(r).Decode(&p); a.Err != nil {
 		return
 	}
 	a.take(p)
-	a.complete = p.Error == nil
+	a.Complete = p.Error == nil
 }
 
-func (a *answer) readStream(r io.Reader, onPart func(int)) {
+func (a *Answer) readStream(r io.Reader, onPart func(int)) {
 	lines := bufio.NewReader(r)
 	for {
 		line, err := lines.ReadString('\n')
 		if err != nil {
 			if err != io.EOF {
-				a.readErr = err
+				a.Err = err
 			}
 			return
 		}
@@ -91,34 +93,34 @@
 			continue
 		}
 		if data == "[DONE]" {
-			a.done = true
-			a.complete = a.code == ""
+			a.Done = true
+			a.Complete = a.Code == ""
 			continue
 		}
 		var p streamPart
-		if a.readErr = json.Unmarshal([]byte(data), &p); a.readErr != nil {
+		if a.Err = json.Unmarshal([]byte(data), &p); a.Err != nil {
 			return
 		}
 		a.take(p)
 		if onPart != nil {
-			onPart(a.tokens)
+			onPart(a.Tokens)
 		}
 	}
 }
 
-func (a *answer) take(p streamPart) {
+func (a *Answer) take(p streamPart) {
 	if p.Error != nil {
-		a.code, a.ran = p.Error.Code, p.Error.Ran
+		a.Code, a.Ran = p.Error.Code, p.Error.Ran
 		return
 	}
 	for _, c := range p.Choices {
-		a.text += c.Text
-		a.tokens = len(strings.Fields(a.text))
+		a.Text += c.Text
+		a.Tokens = len(strings.Fields(a.Text))
 	}
 }
 
-// words returns a prompt of n words that differs with seed.
-func words(seed string, n int) string {
+// Words returns a prompt of n words that differs with seed.
+func Words(seed string, n int) string {
 	var sb strings.Builder
 	for i := range n {
 		fmt.Fprintf(&sb, "%s-%d ", seed, i)
@@ -126,11 +128,11 @@
 	return strings.TrimSpace(sb.String())
 }
 
-// call sends a request to a plain service.
-func call(addr, method, path, key, body string, header map[string]string) answer {
+// Call sends a request to a plain service.
+func Call(addr, method, path, key, body string, header map[string]string) Answer {
 	req, err := http.NewRequest(method, "http://"+addr+path, strings.NewReader(body))
 	if err != nil {
-		return answer{readErr: err}
+		return Answer{Err: err}
 	}
 	if key != "" {
 		req.Header.Set("Authorization", "Bearer "+key)
@@ -140,16 +142,16 @@
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return answer{readErr: err}
+		return Answer{Err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	a := answer{status: resp.StatusCode, retry: resp.Header.Get("Retry-After")}
+	a := Answer{Status: resp.StatusCode, Retry: resp.Header.Get("Retry-After")}
 	text, err := io.ReadAll(resp.Body)
-	a.readErr = err
-	a.text = string(text)
+	a.Err = err
+	a.Text = string(text)
 	var p streamPart
 	if json.Unmarshal(text, &p) == nil && p.Error != nil {
-		a.code, a.ran = p.Error.Code, p.Error.Ran
+		a.Code, a.Ran = p.Error.Code, p.Error.Ran
 	}
 	return a
 }
--- a/internal/e2e/caller_test.go
+++ b/internal/e2e/caller_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/mulberrystream/mulberrystream/internal/caller"
 	"github.com/mulberrystream/mulberrystream/internal/content"
 	"github.com/mulberrystream/mulberrystream/internal/fake"
 	"github.com/mulberrystream/mulberrystream/internal/fleet"
@@ -22,17 +23,17 @@
 		f := startFleet(4, rulesText(ampleRate...))
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		prompt := words("long", 4000)
+		prompt := caller.Words("long", 4000)
 		for _, e := range f.Deployment.Engines {
 			e.SetFaults(fake.Faults{Slow: 200})
 		}
-		result := make(chan answer, 1)
+		result := make(chan caller.Answer, 1)
 		go func() {
-			result <- ask(ctx, f.Hosts[0].Caller, keyEverest, completionRequest{Model: "inspect-lm", Prompt: prompt, MaxTokens: 50, Stream: true}, nil)
+			result <- caller.Ask(ctx, f.Hosts[0].Caller, keyEverest, caller.Request{Model: "inspect-lm", Prompt: prompt, MaxTokens: 50, Stream: true}, nil)
 		}()
 		Eventually(held(f), fleet.WaitLimit).Should(BeNumerically(">", 0))
 		cancel()
-		Expect((<-result).readErr).To(HaveOccurred())
+		Expect((<-result).Err).To(HaveOccurred())
 		Eventually(held(f), fleet.WaitLimit).Should(BeZero())
 		for _, r := range f.Deployment.Records() {
 			Expect(r.Kind).NotTo(Equal(record.Token), "the decode must not have begun")
@@ -43,22 +44,22 @@
 		f := startFleet(4, rulesText(ampleRate...))
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		r := completionRequest{Model: "inspect-lm", Prompt: words("short", 100), MaxTokens: 5000, Stream: true}
-		a := ask(ctx, f.Hosts[0].Caller, keyEverest, r, func(tokens int) {
+		r := caller.Request{Model: "inspect-lm", Prompt: caller.Words("short", 100), MaxTokens: 5000, Stream: true}
+		a := caller.Ask(ctx, f.Hosts[0].Caller, keyEverest, r, func(tokens int) {
 			if tokens > 3 {
 				cancel()
 			}
 		})
-		Expect(a.complete).To(BeFalse())
+		Expect(a.Complete).To(BeFalse())
 		Eventually(held(f), fleet.WaitLimit).Should(BeZero())
 	})
 
 	It("frees engine memory when the host that ran the request dies", func() {
 		f := startFleet(8, rulesText(ampleRate...))
-		r := completionRequest{Model: "inspect-lm", Prompt: words("orphan", 100), MaxTokens: 20000, Stream: true}
+		r := caller.Request{Model: "inspect-lm", Prompt: caller.Words("orphan", 100), MaxTokens: 20000, Stream: true}
 		first := make(chan struct{})
 		var once sync.Once
-		go ask(context.Background(), f.Hosts[0].Caller, keyEverest, r, func(int) { once.Do(func() { close(first) }) })
+		go caller.Ask(context.Background(), f.Hosts[0].Caller, keyEverest, r, func(int) { once.Do(func() { close(first) }) })
 		Eventually(first, fleet.WaitLimit).Should(BeClosed())
 		f.Hosts[0].Kill()
 		Eventually(held(f), fleet.WaitLimit).Should(BeZero())
@@ -71,17 +72,17 @@
 		const streams = 50
 		var wg sync.WaitGroup
 		var started sync.WaitGroup
-		answers := make([]answer, streams)
+		answers := make([]caller.Answer, streams)
 		prompts := make([]string, streams)
 		for i := range streams {
-			prompts[i] = words("stop-"+string(rune('a'+i%26))+string(rune('a'+i/26)), 50)
+			prompts[i] = caller.Words("stop-"+string(rune('a'+i%26))+string(rune('a'+i/26)), 50)
 			wg.Add(1)
 			started.Add(1)
 			go func() {
 				defer wg.Done()
 				var once sync.Once
-				r := completionRequest{Model: "inspect-lm", Prompt: prompts[i], MaxTokens: 150, Stream: true}
-				answers[i] = ask(context.Background(), f.Hosts[0].Caller, keyEverest, r, func(int) { once.Do(started.Done) })
+				r := caller.Request{Model: "inspect-lm", Prompt: prompts[i], MaxTokens: 150, Stream: true}
+				answers[i] = caller.Ask(context.Background(), f.Hosts[0].Caller, keyEverest, r, func(int) { once.Do(started.Done) })
 				once.Do(started.Done)
 			}()
 		}
@@ -89,8 +90,8 @@
 		f.Hosts[0].Terminate()
 		wg.Wait()
 		for i, a := range answers {
-			Expect(a.complete).To(BeTrue(), "stream %d: status %d code %s error %v", i, a.status, a.code, a.readErr)
-			Expect(a.text).To(Equal(content.Answer(prompts[i], 150)))
+			Expect(a.Complete).To(BeTrue(), "stream %d: status %d code %s error %v", i, a.Status, a.Code, a.Err)
+			Expect(a.Text).To(Equal(content.Answer(prompts[i], 150)))
 		}
 		Eventually(f.Hosts[0].Done(), fleet.WaitLimit).Should(BeClosed())
 		Expect(f.Hosts[0].Err()).NotTo(HaveOccurred())
@@ -100,18 +101,18 @@
 var _ = Describe("A decode engine that dies", func() {
 	It("loses and repeats no token of a stream", func() {
 		f := startFleet(4, rulesText(ampleRate...))
-		prompt := words("resume", 100)
+		prompt := caller.Words("resume", 100)
 		var once sync.Once
-		r := completionRequest{Model: "inspect-lm", Prompt: prompt, MaxTokens: 300, Stream: true}
-		a := ask(context.Background(), f.Hosts[0].Caller, keyEverest, r, func(tokens int) {
+		r := caller.Request{Model: "inspect-lm", Prompt: prompt, MaxTokens: 300, Stream: true}
+		a := caller.Ask(context.Background(), f.Hosts[0].Caller, keyEverest, r, func(tokens int) {
 			if tokens < 10 {
 				return
 			}
 			once.Do(func() { crashDecoder(f) })
 		})
-		Expect(a.readErr).NotTo(HaveOccurred())
-		Expect(a.complete).To(BeTrue(), "code %s", a.code)
-		Expect(a.text).To(Equal(content.Answer(prompt, 300)))
+		Expect(a.Err).NotTo(HaveOccurred())
+		Expect(a.Complete).To(BeTrue(), "code %s", a.Code)
+		Expect(a.Text).To(Equal(content.Answer(prompt, 300)))
 	})
 })
 
@@ -132,8 +133,8 @@
 var _ = Describe("Keys", func() {
 	It("are not seen by any backend server", func() {
 		f := startFleet(4, rulesText(ampleRate...))
-		ask(context.Background(), f.Hosts[0].Caller, keyEverest, completionRequest{Model: "inspect-lm", Prompt: "a b", MaxTokens: 5}, nil)
-		call(f.Hosts[0].Caller, "POST", "/counter/refunds", keyEverest, "body", nil)
+		caller.Ask(context.Background(), f.Hosts[0].Caller, keyEverest, caller.Request{Model: "inspect-lm", Prompt: "a b", MaxTokens: 5}, nil)
+		caller.Call(f.Hosts[0].Caller, "POST", "/counter/refunds", keyEverest, "body", nil)
 		records := f.Deployment.Records()
 		Expect(records).NotTo(BeEmpty())
 		for _, r := range records {
@@ -145,20 +146,20 @@
 		f := startFleet(4, rulesText(ampleRate...))
 		started := make(chan struct{})
 		var once sync.Once
-		result := make(chan answer, 1)
+		result := make(chan caller.Answer, 1)
 		go func() {
-			r := completionRequest{Model: "inspect-lm", Prompt: words("w", 50), MaxTokens: 30000, Stream: true}
-			result <- ask(context.Background(), f.Hosts[0].Caller, keyEverest, r, func(int) { once.Do(func() { close(started) }) })
+			r := caller.Request{Model: "inspect-lm", Prompt: caller.Words("w", 50), MaxTokens: 30000, Stream: true}
+			result <- caller.Ask(context.Background(), f.Hosts[0].Caller, keyEverest, r, func(int) { once.Do(func() { close(started) }) })
 		}()
 		Eventually(started, fleet.WaitLimit).Should(BeClosed())
 		f.Deployment.Platform.Publish(2, withoutKey(rulesText(ampleRate...), "everest-1"))
-		var a answer
+		var a caller.Answer
 		Eventually(result, fleet.WaitLimit).Should(Receive(&a))
-		Expect(a.done).To(BeFalse())
-		Expect(a.code).To(Equal("key_withdrawn"))
+		Expect(a.Done).To(BeFalse())
+		Expect(a.Code).To(Equal("key_withdrawn"))
 		for _, h := range f.Hosts {
 			Eventually(func() int {
-				return ask(context.Background(), h.Caller, keyEverest, completionRequest{Model: "inspect-lm", Prompt: "a b", MaxTokens: 1}, nil).status
+				return caller.Ask(context.Background(), h.Caller, keyEverest, caller.Request{Model: "inspect-lm", Prompt: "a b", MaxTokens: 1}, nil).Status
 			}, fleet.WaitLimit).Should(Equal(401))
 		}
 		Eventually(held(f), fleet.WaitLimit).Should(BeZero())
