Tell a full engine from a dead one and keep its refusal true

Cause: under -race 50 simultaneous prompts filled a prefill engine. Its 429 was handled like a lost connection: the pool owner took the engine for dead, and the caller read ran: unknown although no engine had started the request. Ruled out: a cut stream; the request was refused before its first token. Change: CallError.Alive says that the backend server itself refused; such an engine stays in the pool, and a request that no engine started is not run. The overbooking of the prefill engine itself is still open.

--- a/pkg/driver/backends.go
+++ b/pkg/driver/backends.go
@@ -33,9 +33,13 @@
 	if err == nil {
 		return nil
 	}
+	out := &node.CallError{Step: step, Reason: err.Error(), NotRun: errors.Is(err, errExpired)}
 	var e *engine.Error
-	notRun := errors.Is(err, errExpired) || errors.As(err, &e) && e.NotRun
-	return &node.CallError{Step: step, Reason: err.Error(), NotRun: notRun}
+	if errors.As(err, &e) {
+		out.NotRun = e.NotRun
+		out.Alive = e.Answered()
+	}
+	return out
 }
 
 func (d *Driver) prefill(e node.Prefill) {
--- a/pkg/engine/error.go
+++ b/pkg/engine/error.go
@@ -39,3 +39,13 @@
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
+
+// Answered reports whether the backend server itself refused the call, so that it
+// is alive although it did not do the work.
+func (e *Error) Answered() bool {
+	switch e.Code {
+	case CodeBadRequest, CodeUnknownAttempt, CodeStaleFence, CodeFull, CodeLeaving:
+		return true
+	}
+	return false
+}
--- a/pkg/node/completion.go
+++ b/pkg/node/completion.go
@@ -295,8 +295,12 @@
 func (n *Node) attemptFailed(r *request, cause *CallError, at engine.Info) {
 	r.started = r.started || !cause.NotRun
 	n.cancelBooking(r)
-	n.applyPlacement(n.place.Unreachable(n.now, at.ID))
+	if !cause.Alive {
+		n.applyPlacement(n.place.Unreachable(n.now, at.ID))
+	}
 	r.exclude = append(r.exclude, at.ID)
+	// No call runs any more, so only earlier work counts as started.
+	r.phase = booking
 	if !n.budget.Allow(n.now, int(r.attempt)-1) {
 		n.fail(r, CodeBackendFailed, shuttingDownRetry, cause.Error()+" at "+string(at.ID))
 		return
@@ -311,8 +315,8 @@
 	n.applyPlacement(n.place.Release(n.now, r.ref(), r.delivered))
 	r.attempt++
 	r.recalling = false
+	r.phase = booking
 	if len(n.versions(r.model)) == 0 {
-		r.phase = booking
 		n.fail(r, CodeRecalled, 0, "all versions of the model are recalled")
 		return
 	}
--- a/pkg/node/event.go
+++ b/pkg/node/event.go
@@ -87,6 +87,7 @@
 	Step   string // prefill, import, decode or call
 	Reason string
 	NotRun bool // the backend server surely did not start
+	Alive  bool // the backend server answered, such as to say that it is full
 }
 
 // Error returns step and reason.
--- a/pkg/node/golden_test.go
+++ b/pkg/node/golden_test.go
@@ -147,3 +147,22 @@
 	}
 	return strings.Join(out, "\n")
 }
+
+var _ = Describe("An engine that is full", func() {
+	It("leaves a request that no engine has started as not run", func() {
+		s := newSession()
+		s.arrive()
+		s.step(node.PrefillEnded{Ref: s.ref(), Err: &node.CallError{Step: "prefill", Reason: "full", NotRun: true, Alive: true}})
+		refused := effects[node.Refuse](s)
+		Expect(refused).To(HaveLen(1), "no other prefill engine")
+		Expect(refused[0].Ran).To(Equal(node.NotRun))
+	})
+
+	It("is not taken for a dead one", func() {
+		s := newSession()
+		s.arrive()
+		s.step(node.PrefillEnded{Ref: s.ref(), Err: &node.CallError{Step: "prefill", Reason: "full", NotRun: true, Alive: true}})
+		s.step(node.CompletionArrived{ID: "h0@1#2", Key: "acme-1", Organisation: "acme", Model: "lm", PromptTokens: 1, MaxTokens: 1})
+		Expect(effects[node.Prefill](s)).To(HaveLen(1))
+	})
+})
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -131,7 +131,7 @@
 // twice.
 func (n *Node) serviceFailed(r *request, cause *CallError) {
 	at := r.call.backend.ID
-	if cause.NotRun {
+	if cause.NotRun && !cause.Alive {
 		n.applyPlacement(n.place.Unreachable(n.now, at))
 	}
 	r.started = r.started || !cause.NotRun
