--- a/cmd/mulberryload/main.go
+++ b/cmd/mulberryload/main.go
@@ -105,13 +105,14 @@
 	if err := load.WriteText(out, s); err != nil {
 		return err
 	}
+	records := append(log.All(), engines...)
 	if c.Out != "" {
-		if err := load.WriteFiles(c.Out, w, s, results, targets); err != nil {
+		if err := load.WriteFiles(c.Out, w, s, results, records, targets); err != nil {
 			return err
 		}
 	}
 	if c.Check {
-		return c.check(out, w, append(log.All(), engines...))
+		return c.check(out, w, records)
 	}
 	return nil
 }
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -414,7 +414,7 @@
 		dir := GinkgoT().TempDir()
 		rs := []load.Result{result(0, 0, record.Answered, 1), result(1, 1, record.Denied, 0)}
 		s := summary(nil, rs...)
-		Expect(load.WriteFiles(dir, w, s, rs, load.DefaultTargets())).To(Succeed())
+		Expect(load.WriteFiles(dir, w, s, rs, nil, load.DefaultTargets())).To(Succeed())
 		for _, name := range []string{"timeline.svg", "firsttoken.svg", "shares.svg"} {
 			b, err := os.ReadFile(filepath.Join(dir, name))
 			Expect(err).NotTo(HaveOccurred())
--- a/internal/load/output.go
+++ b/internal/load/output.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"text/tabwriter"
 	"time"
+
+	"github.com/mulberrystream/mulberrystream/internal/record"
 )
 
 // WriteText writes the metrics for a reader.
@@ -96,9 +98,9 @@
 	return strconv.FormatFloat(float64(d)/float64(time.Millisecond), 'f', 3, 64)
 }
 
-// WriteFiles writes summary.txt, summary.json, requests.csv and the plots into a
-// directory.
-func WriteFiles(dir string, w Workload, s Summary, results []Result, t Targets) error {
+// WriteFiles writes summary.txt, summary.json, requests.csv, the plots and, as
+// records.json, the records of callers and stand-ins into a directory.
+func WriteFiles(dir string, w Workload, s Summary, results []Result, records []record.Record, t Targets) error {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return err
 	}
@@ -108,6 +110,7 @@
 		"requests.csv":   func(f io.Writer) error { return WriteCSV(f, w, results, t) },
 		"timeline.svg":   func(f io.Writer) error { return WriteTimeline(f, s, results, t) },
 		"firsttoken.svg": func(f io.Writer) error { return WriteFirstToken(f, w, results, t) },
+		"records.json":   func(f io.Writer) error { return json.NewEncoder(f).Encode(records) },
 		"shares.svg":     func(f io.Writer) error { return WriteShares(f, s) },
 	}
 	for name, write := range files {
