Let other domains own the pools of a domain whose hosts have all died

Cause: a host that was the last of its domain died while it ran a request. No host owned the domain's pools, so nobody read its engines' reports and the memory of the request stayed held: 1 request still held after 60 s. Ruled out: reclaim itself; with a second host in the domain memory was freed. Change: without live hosts in a domain, all known hosts take part in the rendezvous choice of its pool owners. Two owners can result, at the cost of overbooking only.

--- a/internal/e2e/caller_test.go
+++ b/internal/e2e/caller_test.go
@@ -54,16 +54,20 @@
 		Eventually(held(f), fleet.WaitLimit).Should(BeZero())
 	})
 
-	It("frees engine memory when the host that ran the request dies", func() {
-		f := startFleet(8, rulesText(ampleRate...))
-		r := caller.Request{Model: "inspect-lm", Prompt: caller.Words("orphan", 100), MaxTokens: 20000, Stream: true}
-		first := make(chan struct{})
-		var once sync.Once
-		go caller.Ask(context.Background(), f.Hosts[0].Caller, keyEverest, r, func(int) { once.Do(func() { close(first) }) })
-		Eventually(first, fleet.WaitLimit).Should(BeClosed())
-		f.Hosts[0].Kill()
-		Eventually(held(f), fleet.WaitLimit).Should(BeZero())
-	})
+	DescribeTable("frees engine memory when the host that ran the request dies",
+		func(hosts int) {
+			f := startFleet(hosts, rulesText(ampleRate...))
+			r := caller.Request{Model: "inspect-lm", Prompt: caller.Words("orphan", 100), MaxTokens: 20000, Stream: true}
+			first := make(chan struct{})
+			var once sync.Once
+			go caller.Ask(context.Background(), f.Hosts[0].Caller, keyEverest, r, func(int) { once.Do(func() { close(first) }) })
+			Eventually(first, fleet.WaitLimit).Should(BeClosed())
+			f.Hosts[0].Kill()
+			Eventually(held(f), fleet.WaitLimit).Should(BeZero())
+		},
+		Entry("and another host of its domain lives", 8),
+		Entry("and it was the last host of its domain", 4),
+	)
 })
 
 var _ = Describe("A graceful stop", func() {
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -217,6 +217,9 @@
 	gen, _ := n.conf.Current()
 	var free []membership.PoolFree
 	for _, f := range n.place.Free() {
+		if f.Domain != n.cfg.Domain {
+			continue // of a domain without live hosts; others learn of it by asking
+		}
 		free = append(free, membership.PoolFree{Model: f.Model, Free: f.Free})
 	}
 	n.members.SetLocal(n.now, membership.Local{
--- a/pkg/placement/handover.go
+++ b/pkg/placement/handover.go
@@ -11,7 +11,7 @@
 // engines are polled before the first request.
 func (p *Placer) adoptPools(now time.Time) {
 	for _, key := range p.fleet.order {
-		if key.Domain == p.cfg.Domain && p.ownerOf(key) == p.cfg.Self.Host {
+		if p.ownerOf(key) == p.cfg.Self.Host {
 			p.pool(key)
 		}
 	}
@@ -51,7 +51,7 @@
 
 // onHandover takes over queue and bookings. What is known already stays.
 func (p *Placer) onHandover(now time.Time, h *Handover) {
-	if h.Pool.Domain != p.cfg.Domain || p.draining {
+	if !p.mayOwn(h.Pool) || p.draining {
 		return
 	}
 	pl := p.pool(h.Pool)
--- a/pkg/placement/owner.go
+++ b/pkg/placement/owner.go
@@ -81,7 +81,7 @@
 		p.send(owner, Message{Book: &forward})
 		return nil
 	}
-	if b.Pool.Domain != p.cfg.Domain || p.draining {
+	if !p.mayOwn(b.Pool) || p.draining {
 		p.refuse(b, ReasonNoEngine, p.cfg.OwnerTimeout)
 		return nil
 	}
--- a/pkg/placement/placer.go
+++ b/pkg/placement/placer.go
@@ -199,24 +199,45 @@
 	return p.finish(now)
 }
 
-// rank returns the live hosts of a pool's domain, the owner first.
+// rank returns the live hosts that may own a pool, the owner first: those of its
+// domain. A domain whose hosts have all died still has engines that hold memory,
+// so then all known hosts take part. Hosts of different domains can then choose
+// different owners, which costs overbooking only.
 func (p *Placer) rank(key Pool) []ident.HostID {
 	if r, ok := p.ranks[key]; ok {
 		return r
 	}
+	live := p.liveIn(func(d ident.FailureDomain) bool { return d == key.Domain })
+	if len(live) == 0 {
+		live = p.liveIn(func(ident.FailureDomain) bool { return true })
+	}
+	r := ident.Rank("pool/"+string(key.Model)+"/"+string(key.Domain), live)
+	p.ranks[key] = r
+	return r
+}
+
+// mayOwn tells whether this host can be the owner of a pool: it is of the own
+// domain, or that domain has no live host.
+func (p *Placer) mayOwn(key Pool) bool {
+	if key.Domain == p.cfg.Domain {
+		return true
+	}
+	return len(p.liveIn(func(d ident.FailureDomain) bool { return d == key.Domain })) == 0
+}
+
+// liveIn returns the live hosts of some domains in a fixed order.
+func (p *Placer) liveIn(wanted func(ident.FailureDomain) bool) []ident.HostID {
 	var live []ident.HostID
 	for id, h := range p.hosts {
-		if h.Live && h.Domain == key.Domain && id != p.cfg.Self.Host {
+		if h.Live && wanted(h.Domain) && id != p.cfg.Self.Host {
 			live = append(live, id)
 		}
 	}
-	if key.Domain == p.cfg.Domain && !p.draining {
+	if wanted(p.cfg.Domain) && !p.draining {
 		live = append(live, p.cfg.Self.Host)
 	}
 	slices.Sort(live)
-	r := ident.Rank("pool/"+string(key.Model)+"/"+string(key.Domain), live)
-	p.ranks[key] = r
-	return r
+	return live
 }
 
 // ownerOf returns the owner of a pool, or "" when no live host is known.
