--- a/pkg/limits/loan.go
+++ b/pkg/limits/loan.go
@@ -48,7 +48,9 @@
 	if b.borrow != nil || lack <= 0 || l.slot.now.Before(b.noLoanUntil) {
 		return
 	}
-	want := min(lack+math.Ceil(b.demand.expected()), max(lack, math.Ceil(b.policy.Burst)))
+	// What waits is part of the recent demand already.
+	soon := max(0, math.Ceil(b.demand.expected()-b.short))
+	want := min(lack+soon, max(lack, math.Ceil(b.policy.Burst)))
 	br := &borrow{
 		id:       l.nextID(),
 		bucket:   b,
