limits: ask fewer lenders when few can cover the need

Equal levels spread a small need over eight lenders, four messages each. A lender is now asked for at least a quarter of its tokens.

Messages per request with 1,710 hosts, bursts of 1, 5 and 15 s: 134, 33 and 0.68 before, 91, 18 and 0.29 now; granted 99.83, 100 and 100% before, 99.66, 99.83 and 100% now. Wrongly refused at 0.9 of the rate, before and after: one host 0.30 and 0.44%, moving 0.55 and 0.58%, skewed 0.55 and 0.61%, uniform 1.02 and 0.96%, one host with 5% loss 1.93 and 1.52%: no clear change.

--- a/pkg/limits/hub.go
+++ b/pkg/limits/hub.go
@@ -15,6 +15,9 @@
 	domainFanout = 4
 	// hubRounds bounds how often a hub asks again when hosts lend less than expected.
 	hubRounds = 4
+	// minPart is the part of its tokens that a lender is asked for at least, if
+	// fewer lenders can cover the need.
+	minPart = 0.25
 	// refillSeconds is the time in which a hub assumes that a bucket fills up by
 	// refunds and returns, which it does not see.
 	refillSeconds = 0.25
@@ -167,7 +170,8 @@
 	for i, c := range cs {
 		sum += c.tokens
 		level := (sum - lack) / float64(i+1)
-		if i+1 == len(cs) || level >= cs[i+1].tokens {
+		small := lack/float64(i+2) < c.tokens*minPart
+		if i+1 == len(cs) || level >= cs[i+1].tokens || level >= 0 && small {
 			return i + 1, max(0, level)
 		}
 	}
