membership, confsync: close gaps that changed code slipped through

Cause: 20 deliberate faults were put into a scratch copy of both packages; 5 went unnoticed: heartbeats of an old incarnation, the slot holder named in an acknowledgement, reordered heartbeats, invalid generations fetched again from peers, and the cache of deltas. Change: tests for the first four. The cache only saves work. Conclusion: each of the four mechanisms has a test that fails without it.

--- a/pkg/confsync/sync_test.go
+++ b/pkg/confsync/sync_test.go
@@ -241,6 +241,18 @@
 		Expect(string(g.Text)).To(Equal("five"))
 	})
 
+	It("is not fetched again from peers, when it is invalid", func() {
+		s := hosts[0].sync
+		bad := confsync.NewGeneration(9, []byte("invalid"))
+		s.Heard(n.now, "a-01", 9, bad.Digest)
+		part := &confsync.GenerationPart{Revision: 9, Digest: bad.Digest[:], Total: len(bad.Text), Data: bad.Text}
+		r := s.Receive(n.now, "a-01", confsync.Message{Part: part})
+		Expect(r.Alarms[0].Kind).To(Equal(confsync.AlarmInvalid))
+		for _, from := range []ident.HostID{"a-01", "a-02"} {
+			Expect(s.Heard(n.now, from, 9, bad.Digest).Envelopes).To(BeEmpty())
+		}
+	})
+
 	It("is refused, when a peer's text does not have the digest", func() {
 		s := hosts[0].sync
 		good := confsync.NewGeneration(9, []byte("nine"))
--- a/pkg/membership/group_test.go
+++ b/pkg/membership/group_test.go
@@ -194,7 +194,10 @@
 		Expect(restarted).To(ConsistOf(membership.HostRestarted{Process: fresh.self, Previous: old.self.Incarnation}))
 		contacts, _ := find[membership.Contact](old)
 		old.paused = false
-		n.run(2 * time.Second)
+		for range 20 {
+			n.run(100 * time.Millisecond)
+			Expect(ps[1].host("a-00").Addr).To(Equal(fresh.addr))
+		}
 		Expect(ps[1].host("a-00").Process).To(Equal(fresh.self))
 		Expect(ps[1].host("a-00").State).To(Equal(membership.Live))
 		superseded, _ := find[membership.Superseded](old)
@@ -211,6 +214,7 @@
 		n.run(2 * time.Second)
 		contacts, _ := find[membership.Contact](ps[0])
 		ps[0].paused = false
+		n.cut = func(from, to *process) bool { return from == fresh && to == ps[0] }
 		n.run(3 * time.Second)
 		superseded, _ := find[membership.Superseded](ps[0])
 		Expect(superseded).To(ConsistOf(membership.Superseded{By: fresh.self}))
@@ -257,6 +261,16 @@
 		Entry("after a crash", false, 0),
 	)
 
+	It("does not go back to what a late heartbeat says", func() {
+		heartbeat := func(seq uint64, r ident.Revision) membership.Result {
+			hb := &membership.Heartbeat{Incarnation: 9, Sequence: seq, Domain: "a", Slot: 9, Revision: r}
+			return ps[0].Receive(n.now, "a-09", membership.Message{Heartbeat: hb})
+		}
+		heartbeat(5, 2)
+		Expect(heartbeat(4, 1).Events).To(BeEmpty())
+		Expect(ps[0].host("a-09").Revision).To(Equal(ident.Revision(2)))
+	})
+
 	It("reports a revision once for each host and change", func() {
 		ps[0].SetLocal(n.now, membership.Local{Revision: 7, Digest: [32]byte{1}, Ready: true})
 		n.run(2 * time.Second)
