confsync: ignore outcomes of reads from before a pause

Cause: an answer that waited in a buffer during a pause would have counted as a platform answer after it, and a fresh start would have been ready with old rules. Alarms of different kinds for one generation also hid each other. Change: reads have ids, and only the outcome of the outstanding one counts; alarms are remembered by kind; membership drops a field that told nothing new. Figures: the new spec fails without the check of the id. Conclusion: after a pause a host is ready only on answers from after it.

--- a/pkg/confsync/bench_test.go
+++ b/pkg/confsync/bench_test.go
@@ -138,7 +138,7 @@
 	}
 	read := func(s *confsync.Sync, r ident.Revision) confsync.Generation {
 		g := confsync.NewGeneration(r, []byte(rules(organisations, int(r))))
-		s.ReadDone(epoch, confsync.ReadOutcome{Generation: g, PlatformVersion: uint64(r)})
+		give(s, g)
 		return g
 	}
 	read(syncs[0], 1)
--- a/pkg/confsync/reader.go
+++ b/pkg/confsync/reader.go
@@ -15,6 +15,7 @@
 	expected map[ident.HostID]time.Time // since when a host should read, as far as this one sees
 
 	outstanding bool
+	id          uint64    // of the last read
 	lostAt      time.Time // when an outstanding read counts as lost
 	next        time.Time // earliest next read
 	version     uint64    // platform version last answered
@@ -111,12 +112,13 @@
 		return
 	}
 	r.outstanding = true
+	r.id++
 	res.Read = s.read(now, slow > 1)
 	r.lostAt = res.Read.Deadline.Add(readMargin)
 }
 
 func (s *Sync) read(now time.Time, extra bool) *ReadEffect {
-	e := &ReadEffect{After: s.reader.version, Have: s.current.Revision, NotBefore: now}
+	e := &ReadEffect{ID: s.reader.id, After: s.reader.version, Have: s.current.Revision, NotBefore: now}
 	if e.After != 0 {
 		e.Wait = s.cfg.wait()
 	} else {
@@ -129,9 +131,13 @@
 	return e
 }
 
-// ReadDone takes the end of a read.
+// ReadDone takes the end of a read. The outcome of a read from before a pause, or
+// of one that counts as lost, is old and shows nothing about the platform now.
 func (s *Sync) ReadDone(now time.Time, o ReadOutcome) Result {
 	var res Result
+	if !s.reader.outstanding || o.ID != s.reader.id {
+		return res
+	}
 	s.reader.outstanding = false
 	err := o.Err
 	if err == nil && !o.NotChanged && !s.takeRead(o, &res) {
--- a/pkg/confsync/sync.go
+++ b/pkg/confsync/sync.go
@@ -17,10 +17,10 @@
 
 	current  Generation
 	have     bool
-	history  []Generation // earlier generations, newest first
-	deltas   []delta      // computed deltas to current
-	refused  remembered   // generations that do not validate
-	reported remembered   // generations of which an alarm was given
+	history  []Generation              // earlier generations, newest first
+	deltas   []delta                   // computed deltas to current
+	refused  remembered                // generations that do not validate
+	reported map[AlarmKind]*remembered // generations of which an alarm was given
 
 	peers   []Peer
 	sources map[ident.HostID]source
@@ -37,8 +37,8 @@
 		cfg:      cfg,
 		rng:      rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Self.Incarnation))),
 		started:  now,
-		refused:  newRemembered(),
-		reported: newRemembered(),
+		refused:  *newRemembered(),
+		reported: map[AlarmKind]*remembered{},
 		sources:  map[ident.HostID]source{},
 		reader:   newReader(),
 	}
@@ -223,10 +223,15 @@
 }
 
 func (s *Sync) alarm(kind AlarmKind, id generationID, from ident.HostID, text string, res *Result) {
-	if s.reported.has(id) {
+	seen := s.reported[kind]
+	if seen == nil {
+		seen = newRemembered()
+		s.reported[kind] = seen
+	}
+	if seen.has(id) {
 		return
 	}
-	s.reported.add(id)
+	seen.add(id)
 	res.Alarms = append(res.Alarms, Alarm{Kind: kind, Revision: id.revision, Digest: id.digest, From: from, Text: text})
 }
 
@@ -236,8 +241,8 @@
 	order []generationID
 }
 
-func newRemembered() remembered {
-	return remembered{set: map[generationID]bool{}}
+func newRemembered() *remembered {
+	return &remembered{set: map[generationID]bool{}}
 }
 
 func (r *remembered) has(id generationID) bool { return r.set[id] }
--- a/pkg/confsync/sync_test.go
+++ b/pkg/confsync/sync_test.go
@@ -171,10 +171,11 @@
 		for at := time.Duration(0); at < 3*time.Minute; at += tickEvery {
 			for _, s := range syncs {
 				s.SetPeers(epoch.Add(at), peers)
-				if s.Tick(epoch.Add(at)).Read == nil {
+				read := s.Tick(epoch.Add(at)).Read
+				if read == nil {
 					continue
 				}
-				s.ReadDone(epoch.Add(at), confsync.ReadOutcome{Err: errors.New("refused")})
+				s.ReadDone(epoch.Add(at), confsync.ReadOutcome{ID: read.ID, Err: errors.New("refused")})
 				if at >= 2*time.Minute {
 					calls++
 				}
@@ -273,6 +274,12 @@
 	return out
 }
 
+// give makes a host read a generation from the platform.
+func give(s *confsync.Sync, g confsync.Generation) {
+	read := s.Tick(epoch).Read
+	s.ReadDone(epoch, confsync.ReadOutcome{ID: read.ID, Generation: g, PlatformVersion: uint64(g.Revision)})
+}
+
 var _ = Describe("a transfer", func() {
 	cfg := func(id ident.HostID) confsync.Config {
 		c := confsync.DefaultConfig(ident.Process{Host: id, Incarnation: 1}, "a", 1)
@@ -288,7 +295,7 @@
 		var res confsync.Result
 		for _, id := range []ident.HostID{"p", "q"} {
 			servers[id] = confsync.New(cfg(id), epoch)
-			servers[id].ReadDone(epoch, confsync.ReadOutcome{Generation: g, PlatformVersion: 1})
+			give(servers[id], g)
 			r := s.Heard(epoch, id, 1, g.Digest)
 			res.Envelopes = append(res.Envelopes, r.Envelopes...)
 		}
@@ -322,6 +329,20 @@
 })
 
 var _ = Describe("a fresh host", func() {
+	It("does not count the outcome of a read from before a pause", func() {
+		c := confsync.DefaultConfig(ident.Process{Host: "x", Incarnation: 1}, "a", 1)
+		c.Validate = validate
+		s := confsync.New(c, epoch)
+		give(s, confsync.NewGeneration(1, []byte("one")))
+		old := s.Tick(epoch.Add(time.Second)).Read
+		wake := epoch.Add(time.Minute)
+		s.Resumed(wake)
+		s.ReadDone(wake, confsync.ReadOutcome{ID: old.ID, PlatformVersion: 1, NotChanged: true})
+		Expect(s.PlatformSilent(wake)).To(Equal(time.Minute))
+		s.Tick(wake.Add(c.FreshWait))
+		Expect(s.Ready()).To(BeFalse())
+	})
+
 	It("is not ready without a generation, and is with its peers' while the platform is down", func() {
 		n := newNetwork(9)
 		hosts := n.domain("a", 3)
--- a/pkg/membership/heartbeat.go
+++ b/pkg/membership/heartbeat.go
@@ -149,7 +149,7 @@
 			break
 		}
 	}
-	if now.Sub(p.since) < youngFor || now.Sub(p.upAt) < youngFor {
+	if now.Sub(p.upAt) < youngFor {
 		a.Before, a.Released = g.holderBefore(p)
 	}
 	return a
--- a/pkg/membership/peer.go
+++ b/pkg/membership/peer.go
@@ -24,7 +24,6 @@
 	toldLeaving bool // HostLeaving was reported
 
 	state    State
-	since    time.Time // creation of the record
 	upAt     time.Time // first direct heartbeat of this incarnation
 	seq      uint64    // highest sequence number, direct or relayed
 	heardAt  time.Time // when seq grew
@@ -67,7 +66,7 @@
 	if len(g.peers) >= maxPeers {
 		return nil
 	}
-	p := &peer{host: id, since: now, heardAt: now}
+	p := &peer{host: id, heardAt: now}
 	g.peers[id] = p
 	at, _ := slices.BinarySearch(g.order, id)
 	g.order = slices.Insert(g.order, at, id)
@@ -83,7 +82,6 @@
 	*p = peer{
 		host:        p.host,
 		inc:         hb.Incarnation,
-		since:       p.since,
 		listed:      p.listed,
 		listLeaving: p.listLeaving && p.inc == 0,
 		heardAt:     now,
