orders: count running loads once a tick

Cause: the loop over engines counted running loads anew for each, so that a tick grew with the square of the pool.

--- a/pkg/orders/loads.go
+++ b/pkg/orders/loads.go
@@ -11,8 +11,9 @@
 // a new version takes capacity where it is missed least.
 func (o *Orders) loads(now time.Time) []OrderEffect {
 	var out []OrderEffect
+	running := o.Loading()
 	for _, m := range o.usable(now) {
-		if o.Loading() >= o.cfg.MaxLoads {
+		if running >= o.cfg.MaxLoads {
 			break
 		}
 		ord, ok := o.missing(m)
@@ -20,6 +21,7 @@
 			continue
 		}
 		out = append(out, o.send(now, m, ord))
+		running++
 	}
 	return out
 }
