confsync: void reads over a pause without ids in the API

Cause: made an outcome count only with the id of its read. Change: no ids. A read outstanding at the end of a pause is void; the host awaits its overdue outcome before it starts another. BenchmarkFleet runs with -fleet only. Conclusion: the API is that of before again, and the guard stays.

--- a/pkg/confsync/bench_test.go
+++ b/pkg/confsync/bench_test.go
@@ -1,6 +1,7 @@
 package confsync_test
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -35,8 +36,13 @@
 	}
 }
 
-// BenchmarkFleet is the target: 19 domains of 90 hosts. It takes a minute.
+var fleet = flag.Bool("fleet", false, "run BenchmarkFleet, which takes minutes and 1 GB")
+
+// BenchmarkFleet is the target: 19 domains of 90 hosts.
 func BenchmarkFleet(b *testing.B) {
+	if !*fleet {
+		b.Skip("needs -fleet")
+	}
 	for b.Loop() {
 		n := newNetwork(2)
 		var hosts []*host
--- a/pkg/confsync/reader.go
+++ b/pkg/confsync/reader.go
@@ -15,7 +15,7 @@
 	expected map[ident.HostID]time.Time // since when a host should read, as far as this one sees
 
 	outstanding bool
-	id          uint64    // of the last read
+	void        bool      // the outstanding read began before a pause
 	lostAt      time.Time // when an outstanding read counts as lost
 	next        time.Time // earliest next read
 	version     uint64    // platform version last answered
@@ -29,9 +29,14 @@
 	return reader{expected: map[ident.HostID]time.Time{}}
 }
 
-func (r *reader) resumed() {
+// resumed voids a read that was outstanding over a pause: what it brings is old. Its
+// outcome, overdue by then, is awaited for a while, so that it is not taken for that
+// of the next read.
+func (r *reader) resumed(now time.Time) {
 	clear(r.expected)
-	r.outstanding, r.answered = false, false
+	r.answered = false
+	r.void = r.outstanding
+	r.lostAt = now.Add(readMargin)
 	r.failures, r.version = 0, 0
 }
 
@@ -103,7 +108,7 @@
 func (s *Sync) tickReader(now time.Time, res *Result) {
 	r := &s.reader
 	if r.outstanding && now.After(r.lostAt) {
-		r.outstanding = false
+		r.outstanding, r.void = false, false
 		s.readFailed(now, 1)
 	}
 	reads, slow := s.turn(now)
@@ -112,13 +117,12 @@
 		return
 	}
 	r.outstanding = true
-	r.id++
 	res.Read = s.read(now, slow > 1)
 	r.lostAt = res.Read.Deadline.Add(readMargin)
 }
 
 func (s *Sync) read(now time.Time, extra bool) *ReadEffect {
-	e := &ReadEffect{ID: s.reader.id, After: s.reader.version, Have: s.current.Revision, NotBefore: now}
+	e := &ReadEffect{After: s.reader.version, Have: s.current.Revision, NotBefore: now}
 	if e.After != 0 {
 		e.Wait = s.cfg.wait()
 	} else {
@@ -131,14 +135,16 @@
 	return e
 }
 
-// ReadDone takes the end of a read. The outcome of a read from before a pause, or
-// of one that counts as lost, is old and shows nothing about the platform now.
+// ReadDone takes the end of a read. The outcome of a read from before a pause is old
+// and shows nothing about the platform now.
 func (s *Sync) ReadDone(now time.Time, o ReadOutcome) Result {
 	var res Result
-	if !s.reader.outstanding || o.ID != s.reader.id {
+	r := &s.reader
+	if r.void {
+		r.outstanding, r.void = false, false
 		return res
 	}
-	s.reader.outstanding = false
+	r.outstanding = false
 	err := o.Err
 	if err == nil && !o.NotChanged && !s.takeRead(o, &res) {
 		err = errLower
@@ -148,7 +154,6 @@
 		s.readFailed(now, slow)
 		return res
 	}
-	r := &s.reader
 	r.version, r.failures = o.PlatformVersion, 0
 	r.answered, r.ever, r.everAt = true, true, now
 	r.next = now
--- a/pkg/confsync/sync.go
+++ b/pkg/confsync/sync.go
@@ -99,14 +99,14 @@
 
 // Resumed is called after a pause. The configuration may have changed meanwhile,
 // so that the host asks again before it is ready. A read that was outstanding
-// counts as lost.
+// counts for nothing.
 func (s *Sync) Resumed(now time.Time) Result {
 	s.started = now
 	s.isReady, s.asked = false, false
 	s.fetch = nil
 	clear(s.sources)
 	s.peers = s.peers[:0]
-	s.reader.resumed()
+	s.reader.resumed(now)
 	return Result{}
 }
 
--- a/pkg/confsync/types.go
+++ b/pkg/confsync/types.go
@@ -55,9 +55,9 @@
 
 // ReadEffect asks the driver for one read or watch of the manifest and, if its
 // revision is not Have, of the chunks that the driver does not hold by their
-// digests. The driver answers with ReadDone.
+// digests. The driver answers each
+// with one ReadDone, at Deadline at the latest.
 type ReadEffect struct {
-	ID        uint64         // to be copied to the outcome
 	After     uint64         // platform version to watch from; zero for a plain read
 	Have      ident.Revision // revision in force; chunks of this one need no read
 	Wait      time.Duration  // longest time for the watch to stay pending
@@ -67,7 +67,6 @@
 
 // ReadOutcome is the end of a ReadEffect.
 type ReadOutcome struct {
-	ID              uint64     // of the effect; an outcome of an earlier read is ignored
 	Generation      Generation // of the manifest and chunks read, if no error and changed
 	PlatformVersion uint64     // of the manifest
 	NotChanged      bool       // the watch ended without a change, or the revision is Have
