node: pass an unchanged list of hosts to the placement once a second

Cause: every 250 ms the node gave placement.SetHosts the same hosts, which ranks all of them anew for every pool. In a domain of 90 hosts it was the largest part of a tick.

Change: an unchanged list is passed once a second, a changed one at once. Pools that a host keeps for an absent owner are handed over at such a pass, so that can take up to a second instead of 250 ms.

What is left are confsync.Tick, which ranks the hosts each tick, and placement.SetHosts itself, which could keep its ranks when the hosts are unchanged.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -38,6 +38,8 @@
 	superseded bool
 	drain      drainState
 	viewAt     time.Time
+	placeHosts []placement.HostView // last given to the placement
+	placeAt    time.Time
 	pollAt     time.Time
 	hostsAt    time.Time
 	hostsBusy  bool
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/mulberrystream/mulberrystream/pkg/confsync"
 	"github.com/mulberrystream/mulberrystream/pkg/hostlist"
@@ -91,12 +92,29 @@
 	v := n.members.View(n.now)
 	n.hosts.SetPeers(liveOf(v.Hosts))
 	n.applyLimits(n.limits.SetPeers(n.now, n.limitPeers(v)))
-	n.applyPlacement(n.place.SetHosts(n.now, n.placementHosts(v)))
+	n.setPlacementHosts(v)
 	n.place.SetFree(n.now, poolsFree(v))
 	n.applyConf(n.conf.SetPeers(n.now, confPeers(v)))
 	n.setSlots(v)
 }
 
+// placeInterval is the time between two passes of an unchanged list of hosts to
+// the placement. Each ranks the hosts for every pool anew, which in a domain of 90
+// hosts is the largest part of a tick. Pools that a host keeps for an absent owner
+// are handed over at the next pass.
+const placeInterval = time.Second
+
+// setPlacementHosts passes the hosts to the placement when they have changed.
+func (n *Node) setPlacementHosts(v membership.View) {
+	hosts := n.placementHosts(v)
+	if slices.Equal(hosts, n.placeHosts) && n.now.Before(n.placeAt) {
+		return
+	}
+	n.placeHosts = hosts
+	n.placeAt = n.now.Add(placeInterval)
+	n.applyPlacement(n.place.SetHosts(n.now, hosts))
+}
+
 func usable(h membership.Host) bool {
 	return h.State != membership.Dead && !h.Leaving
 }
