--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PKGS ?= ./...
 TIMEOUT ?= 10m
 
-.PHONY: test build fmt vet lint demo soak bench
+.PHONY: capacity experiments test build fmt vet lint demo soak bench
 
 ## test: format check, vet, lint, build and all tests under the race detector.
 test: fmt vet lint build
@@ -27,3 +27,7 @@
 ## demo: run the main job on stand-ins and print what happened to each request.
 demo:
 	$(GO) run ./internal/demo
+
+## capacity: measure what a host costs and rewrite the tables of docs/CAPACITY.md.
+capacity:
+	$(GO) run ./internal/capacity/report
--- a/internal/capacity/cluster.go
+++ b/internal/capacity/cluster.go
@@ -47,6 +47,7 @@
 	next     uint64
 	config   *node.ReadConfig // pending watch
 	hosts    *node.ReadHosts  // pending watch
+	list     uint64           // version of the newest host list given to it
 }
 
 // item is something due at a time.
@@ -154,6 +155,7 @@
 }
 
 func (c *Cluster) step(h *host, ev node.Event) {
+	h.note(ev)
 	if !h.measured {
 		c.act(h, h.node.Step(c.now, ev))
 		return
@@ -162,6 +164,18 @@
 	c.act(h, effects)
 }
 
+// note remembers the version of a host list that the event brings.
+func (h *host) note(ev node.Event) {
+	switch e := ev.(type) {
+	case node.HostsRead:
+		h.list = max(h.list, e.List.Version)
+	case node.PeerMessage:
+		if m := e.Message.HostList; m != nil && m.List != nil {
+			h.list = max(h.list, m.List.Version)
+		}
+	}
+}
+
 // act carries out effects. The messages of one step to one host are one delivery.
 func (c *Cluster) act(h *host, effects []node.Effect) {
 	sends := map[ident.HostID]int{}
--- a/internal/capacity/usage.go
+++ b/internal/capacity/usage.go
@@ -36,12 +36,13 @@
 }
 
 // KindNames returns the kinds of events seen, sorted.
-func (m *Meter) KindNames() []string { return sortedNames(m.Kinds) }
+func (m *Meter) KindNames() []string { return Names(m.Kinds) }
 
 // PartNames returns the parts that sent messages, sorted.
-func (m *Meter) PartNames() []string { return sortedNames(m.Parts) }
+func (m *Meter) PartNames() []string { return Names(m.Parts) }
 
-func sortedNames[V any](m map[string]V) []string {
+// Names returns the keys of a map, sorted.
+func Names[V any](m map[string]V) []string {
 	names := make([]string, 0, len(m))
 	for n := range m {
 		names = append(names, n)
--- /dev/null
+++ b/internal/capacity/wire.go
@@ -0,0 +1,195 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/mulberrystream/mulberrystream/internal/fake"
+	"github.com/mulberrystream/mulberrystream/pkg/engine"
+	"github.com/mulberrystream/mulberrystream/pkg/engine/enginehttp"
+	"github.com/mulberrystream/mulberrystream/pkg/hostlist"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/membership"
+	"github.com/mulberrystream/mulberrystream/pkg/node"
+	"github.com/mulberrystream/mulberrystream/pkg/peer"
+	"github.com/mulberrystream/mulberrystream/pkg/ruleset"
+)
+
+// cpuTime returns the processor time of this process.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+type sink struct{}
+
+// Receive implements peer.Receiver.
+func (sink) Receive(node.Batch) {}
+
+// DeliveryCost returns the processor time in microseconds of one delivery between
+// two hosts in plain text over loopback, both ends together. A host sends as many
+// deliveries as it receives, so this is its cost per delivery sent.
+func DeliveryCost(messages, n int) (float64, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0, fmt.Errorf("capacity: %w", err)
+	}
+	srv := peer.NewServer(sink{}, nil)
+	go func() { _ = srv.Serve(ln) }()
+	defer func() { _ = srv.Close() }()
+	c := peer.NewClient(nil)
+	defer c.Close()
+	b := node.Batch{From: ident.Process{Host: "a", Incarnation: 1}, To: "b"}
+	for range messages {
+		b.Messages = append(b.Messages, node.Message{HostList: &hostlist.Message{Ask: &hostlist.Ask{Version: 1}}})
+	}
+	deliver := func(k int) error {
+		for range k {
+			if err := c.Deliver(context.Background(), ln.Addr().String(), b); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	if err := deliver(100); err != nil {
+		return 0, err
+	}
+	begin := cpuTime()
+	err = deliver(n)
+	return float64((cpuTime() - begin).Microseconds()) / float64(n), err
+}
+
+// PollCost returns the processor time in microseconds of one poll of an engine
+// that holds requests, both ends together: an upper bound of the router's part.
+func PollCost(held, n int) (float64, error) {
+	e, err := fake.NewEngine(fake.EngineConfig{
+		Info:   engine.Info{ID: "e", Role: engine.Prefill, Model: "m", Version: "v", Slots: held},
+		Timing: fake.DefaultTiming(),
+	})
+	if err != nil {
+		return 0, fmt.Errorf("capacity: %w", err)
+	}
+	defer e.Close()
+	c := enginehttp.New(e.Info().Addr, enginehttp.Options{})
+	defer c.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for i := range held {
+		ref := ident.BackendRef{Request: ident.NewRequestID(ident.Process{Host: "h", Incarnation: 1}, uint64(i)), Attempt: 1}
+		go func() {
+			_, _ = c.Prefill(ctx, engine.PrefillRequest{Ref: ref, Model: "m", Version: "v", Prompt: longPrompt})
+		}()
+	}
+	time.Sleep(500 * time.Millisecond) // the report lags by 200 ms
+	begin := cpuTime()
+	for range n {
+		if _, err := c.Report(ctx); err != nil {
+			return 0, fmt.Errorf("capacity: %w", err)
+		}
+		if _, err := c.Events(ctx, 0); err != nil {
+			return 0, fmt.Errorf("capacity: %w", err)
+		}
+	}
+	return float64((cpuTime() - begin).Microseconds()) / float64(n), nil
+}
+
+// longPrompt keeps an engine busy for longer than the measurement.
+var longPrompt = manyWords(100_000)
+
+func manyWords(n int) string {
+	b := make([]byte, 0, 2*n)
+	for range n {
+		b = append(b, 'a', ' ')
+	}
+	return string(b)
+}
+
+// FullList returns the list of a fleet of the given numbers of hosts and replicas.
+func FullList(version uint64, hosts, replicas int) hostlist.List {
+	l := hostlist.List{Version: version}
+	for i := range hosts {
+		d := i % 19
+		l.EntryHosts = append(l.EntryHosts, membership.HostInfo{
+			ID: hostID(d, i/19), Addr: hostAddr(d, i/19), Domain: domainName(d), Slot: ident.Slot(i / 19),
+		})
+	}
+	s := TargetDomain()
+	for i := range replicas {
+		e := s.engine(i / 19)
+		e.Domain = domainName(i % 19)
+		e.ID = ident.BackendID(fmt.Sprintf("%s-engine-%04d", e.Domain, i/19))
+		l.Backends = append(l.Backends, e)
+	}
+	return l
+}
+
+// ListCost is what a version of the whole host list costs a host.
+type ListCost struct {
+	Wire   int     // bytes in CBOR
+	Heap   float64 // bytes of a node that holds it, its own copy included
+	Micros float64 // of the step that takes it
+	Tick   float64 // microseconds of a tick, mean over a second, while it holds it
+}
+
+// MeasureList gives a lone node the list of a whole fleet.
+func MeasureList(hosts, replicas int) (ListCost, error) {
+	l := FullList(1, hosts, replicas)
+	data, err := cbor.Marshal(l)
+	if err != nil {
+		return ListCost{}, fmt.Errorf("capacity: %w", err)
+	}
+	s := TargetDomain()
+	s.Engines = 0
+	out := ListCost{Wire: len(data)}
+	c, heap := HeapBytes(func() *Cluster {
+		var own hostlist.List
+		_ = cbor.Unmarshal(data, &own)
+		s := s
+		s.Hosts, s.Domains, s.Rate = 1, 1, 0
+		c := NewCluster(s, 1)
+		c.list = own
+		c.Run(10 * time.Second)
+		return c
+	})
+	out.Heap = float64(heap)
+	c.Meter.Reset()
+	l.Version = 2
+	l.Backends = append(l.Backends[1:], l.Backends[0])
+	c.step(c.own[0], node.HostsRead{List: l})
+	out.Micros = c.Meter.Kinds["HostsRead"].PerStep()
+	c.Meter.Reset()
+	c.Run(2 * time.Second)
+	out.Tick = c.Meter.Kinds["Tick"].PerStep()
+	return out, nil
+}
+
+// ManyNodes returns the bytes of each of n idle nodes in one process.
+func ManyNodes(n int) float64 {
+	s := Shape{Hosts: n, Domains: 1, Engines: 4, Models: 1, Organisations: 10}
+	_, heap := HeapBytes(func() *Cluster { return NewCluster(s, 1) })
+	return float64(heap) / float64(n)
+}
+
+// RulesCost returns size, heap and parse time in microseconds of the rules of a
+// number of organisations.
+func RulesCost(organisations int) (size int, heap, micros float64, err error) {
+	s := TargetDomain()
+	s.Organisations = organisations
+	text := []byte(s.Rules(0))
+	_, bytes := HeapBytes(func() *ruleset.Rules {
+		var r *ruleset.Rules
+		begin := time.Now()
+		r, err = ruleset.Parse(text)
+		micros = float64(time.Since(begin).Microseconds())
+		return r
+	})
+	return len(text), float64(bytes), micros, err
+}
