Order engines of owned pools to load the version in force

Cause: after the recall of a version nothing brought its engines back: pkg/orders was not composed into the node.

--- a/pkg/driver/backends.go
+++ b/pkg/driver/backends.go
@@ -238,3 +238,24 @@
 func (d *Driver) shortly(wait time.Duration) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(d.ctx, wait+d.cfg.ReadSlack)
 }
+
+// order sends an order, once and only before its deadline.
+func (d *Driver) order(e node.SendOrder) {
+	err := d.runOrder(e)
+	var refused *engine.Error
+	d.post(node.OrderEnded{
+		Pool:       e.Pool,
+		ID:         e.ID,
+		StaleFence: errors.As(err, &refused) && refused.Code == engine.CodeStaleFence,
+		Err:        callError("order", err),
+	})
+}
+
+func (d *Driver) runOrder(e node.SendOrder) error {
+	if expired(e.Deadline) {
+		return errExpired
+	}
+	ctx, cancel := context.WithDeadline(d.ctx, e.Deadline)
+	defer cancel()
+	return d.backends.Engine(e.Backend.Addr).Order(ctx, e.Order)
+}
--- a/pkg/driver/effects.go
+++ b/pkg/driver/effects.go
@@ -36,6 +36,8 @@
 		d.refuse(e)
 	case node.PollEngine:
 		d.pollEngine(e.Engine)
+	case node.SendOrder:
+		d.spawn(func() { d.order(e) })
 	case node.ReadConfig:
 		d.spawn(func() { d.readConfig(e.Read) })
 	case node.ReadHosts:
--- a/pkg/driver/platform.go
+++ b/pkg/driver/platform.go
@@ -29,6 +29,7 @@
 	ctx, cancel := d.shortly(r.Wait)
 	defer cancel()
 	out, err := d.platform.ReadConfig(ctx, r.After, r.Wait)
+	out.ID = r.ID
 	if err != nil {
 		out.Err = err
 	}
--- a/pkg/entryhost/host.go
+++ b/pkg/entryhost/host.go
@@ -136,6 +136,7 @@
 	cfg.FirstTokenTarget = s.FirstToken
 	cfg.Placement.FirstTokenTarget = s.FirstToken
 	cfg.Limits.Quarantine = s.Quarantine
+	cfg.RoleOrders = s.RoleOrders
 	cfg.DrainLinger = s.DrainLinger
 	return cfg
 }
--- a/pkg/entryhost/settings.go
+++ b/pkg/entryhost/settings.go
@@ -33,6 +33,7 @@
 
 	FirstToken  time.Duration `arg:"--first-token-target,env:MULBERRYSTREAM_FIRST_TOKEN_TARGET" default:"950ms" help:"time from arrival to the first token that work is admitted for"`
 	Quarantine  time.Duration `arg:"--slot-quarantine,env:MULBERRYSTREAM_SLOT_QUARANTINE" default:"5s" help:"wait before a new process mints tokens for its slot; must be at least 4.25s, after which an isolated predecessor and its loans have ended"`
+	RoleOrders  bool          `arg:"--role-orders,env:MULBERRYSTREAM_ROLE_ORDERS" help:"let pool owners change engines between prefill and decode with demand"`
 	DrainLinger time.Duration `arg:"--drain-linger,env:MULBERRYSTREAM_DRAIN_LINGER" default:"1s" help:"time for which a stopping host still accepts work after it has reported not ready"`
 	DrainLimit  time.Duration `arg:"--drain-limit,env:MULBERRYSTREAM_DRAIN_LIMIT" default:"10m" help:"longest graceful stop; what still runs then is broken off"`
 	LogLevel    string        `arg:"--log-level,env:MULBERRYSTREAM_LOG_LEVEL" default:"info" help:"debug, info, warn or error; can be changed at run time on /loglevel"`
--- a/pkg/node/config.go
+++ b/pkg/node/config.go
@@ -11,6 +11,7 @@
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 	"github.com/mulberrystream/mulberrystream/pkg/limits"
 	"github.com/mulberrystream/mulberrystream/pkg/membership"
+	"github.com/mulberrystream/mulberrystream/pkg/orders"
 	"github.com/mulberrystream/mulberrystream/pkg/placement"
 	"github.com/mulberrystream/mulberrystream/pkg/retry"
 	"github.com/mulberrystream/mulberrystream/pkg/ruleset"
@@ -52,6 +53,10 @@
 	// messages before it exits.
 	DrainFlush time.Duration
 
+	// RoleOrders lets pool owners change the roles of engines with demand. Loads of
+	// versions are ordered in any case.
+	RoleOrders bool
+
 	Limits      limits.Config
 	Placement   placement.Config
 	Membership  membership.Config
@@ -59,6 +64,7 @@
 	Idempotency idempotency.Config
 	HostList    hostlist.Config
 	Retry       retry.Config
+	Orders      orders.Config
 }
 
 // DefaultConfig returns the settings of a production host.
@@ -86,6 +92,7 @@
 		Idempotency:      idempotency.DefaultConfig(self, idempotency.SlotRef{Domain: domain, Slot: slot}),
 		HostList:         hostlist.DefaultConfig(self),
 		Retry:            retry.DefaultConfig(),
+		Orders:           orders.DefaultConfig(""),
 	}
 }
 
--- a/pkg/node/effect.go
+++ b/pkg/node/effect.go
@@ -6,6 +6,7 @@
 	"github.com/mulberrystream/mulberrystream/pkg/confsync"
 	"github.com/mulberrystream/mulberrystream/pkg/engine"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/placement"
 	"github.com/mulberrystream/mulberrystream/pkg/ruleset"
 )
 
@@ -102,6 +103,16 @@
 	Wait  time.Duration
 }
 
+// SendOrder asks an engine to change what it serves. It must not be sent after
+// Deadline, when another host may have become the sender.
+type SendOrder struct {
+	Pool     placement.Pool
+	ID       uint64
+	Backend  engine.Info
+	Order    engine.Order
+	Deadline time.Time
+}
+
 // RulesInForce publishes the rules that the front end verifies keys against.
 type RulesInForce struct {
 	Rules    *ruleset.Rules
@@ -133,6 +144,7 @@
 func (PollEngine) effect()   {}
 func (ReadConfig) effect()   {}
 func (ReadHosts) effect()    {}
+func (SendOrder) effect()    {}
 func (RulesInForce) effect() {}
 func (SetReady) effect()     {}
 func (Alarm) effect()        {}
--- a/pkg/node/event.go
+++ b/pkg/node/event.go
@@ -7,6 +7,7 @@
 	"github.com/mulberrystream/mulberrystream/pkg/engine"
 	"github.com/mulberrystream/mulberrystream/pkg/hostlist"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/placement"
 )
 
 // Event is something that happened outside the reducer.
@@ -115,6 +116,14 @@
 	Err        string // empty: success
 }
 
+// OrderEnded is the outcome of a SendOrder effect.
+type OrderEnded struct {
+	Pool       placement.Pool
+	ID         uint64
+	StaleFence bool
+	Err        *CallError
+}
+
 // Shutdown asks for a graceful stop.
 type Shutdown struct{}
 
@@ -133,4 +142,5 @@
 func (EngineCacheChanged) event() {}
 func (ConfigRead) event()         {}
 func (HostsRead) event()          {}
+func (OrderEnded) event()         {}
 func (Shutdown) event()           {}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -29,6 +29,7 @@
 	place   *placement.Placer
 	once    *idempotency.Memory
 	budget  *retry.Budget
+	orders  map[placement.Pool]*poolOrders
 
 	rules    *ruleset.Rules // nil until the first generation is in force
 	revision ident.Revision
@@ -40,6 +41,7 @@
 	viewAt     time.Time
 	pollAt     time.Time
 	hostsAt    time.Time
+	ordersAt   time.Time
 	hostsBusy  bool
 	reader     bool // this host watches the platform
 	stats      Stats
@@ -66,6 +68,7 @@
 		place:    placement.New(cfg.Placement, now),
 		once:     idempotency.New(cfg.Idempotency, now),
 		budget:   retry.New(cfg.Retry, now),
+		orders:   map[placement.Pool]*poolOrders{},
 		requests: map[ident.RequestID]*request{},
 		stats:    Stats{Refused: map[Code]uint64{}},
 	}
@@ -106,6 +109,7 @@
 	case ServiceEnded:
 		n.serviceEnded(e)
 	case EngineReported:
+		n.reportToOrders(e.Report)
 		n.applyPlacement(n.place.Report(n.now, e.Report))
 	case EngineUnreachable:
 		n.applyPlacement(n.place.Unreachable(n.now, e.ID))
@@ -115,6 +119,8 @@
 		n.configRead(e)
 	case HostsRead:
 		n.hostsRead(e)
+	case OrderEnded:
+		n.orderEnded(e)
 	case Shutdown:
 		n.beginDrain()
 	default:
@@ -134,6 +140,7 @@
 	n.applyLimits(n.limits.Resumed(n.now))
 	n.applyPlacement(n.place.Resumed(n.now))
 	n.applyOnce(n.once.Resumed(n.now))
+	n.resumeOrders()
 }
 
 func (n *Node) tick() {
@@ -146,6 +153,7 @@
 	n.applyOnce(n.once.Tick(n.now))
 	n.refreshViewIfDue()
 	n.pollIfDue()
+	n.ordersIfDue()
 	n.watchHostsIfDue()
 	n.updateReady()
 	n.continueDrain()
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -51,6 +51,7 @@
 	case membership.Contact:
 		n.limits.Contact(e.Sent)
 		n.once.Contact(e.Sent)
+		n.contactOrders(e.Sent)
 	case membership.Superseded:
 		n.supersede()
 	case membership.SlotReleased:
@@ -265,6 +266,7 @@
 func (n *Node) contact() {
 	n.limits.Contact(n.now)
 	n.once.Contact(n.now)
+	n.contactOrders(n.now)
 }
 
 // watchHostsIfDue watches the host list on configuration readers, and on a host
--- a/pkg/placement/owner.go
+++ b/pkg/placement/owner.go
@@ -106,6 +106,7 @@
 // enqueue admits a request to the queue or refuses it.
 func (p *Placer) enqueue(now time.Time, pl *pool, b *Book) {
 	t := &ticket{book: *b, deadline: now.Add(b.Budget - p.cfg.Margin)}
+	pl.asked.add(b)
 	if reason := p.filter.check(pl.infos(), t.wanted()); reason != "" {
 		p.refuse(b, reason, p.cfg.DownTime)
 		return
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -20,6 +20,8 @@
 	queue     *fairqueue.Queue[ident.BackendRef, *ticket]
 	bookings  map[ident.BackendRef]*booking
 
+	asked Asked // since this host became the owner
+
 	slotTime rate // seconds that a decode slot is held, per request
 	perCost  rate // seconds of prefill per token charged
 
