Repeat unanswered claim queries sooner; lose messages in the experiment

Cause: a trial of the experiment with 5% of the messages lost did not end: about five unanswered claim queries in a row cancelled the streams of a live host, and the fake engine's cancel told nobody. Change: a query without an answer is repeated after a quarter of the claim interval instead of half; the fake engine breaks a cancelled stream; a run ends a minute after its last arrival and counts requests without an end; option Loss.

--- a/internal/baseline/baseline_test.go
+++ b/internal/baseline/baseline_test.go
@@ -42,6 +42,19 @@
 	report(b, o)
 }
 
+// BenchmarkLoss loses messages between hosts.
+func BenchmarkLoss(b *testing.B) {
+	for _, load := range []float64{0.9, 1.3} {
+		for _, loss := range []float64{0.001, 0.01, 0.05} {
+			b.Run(fmt.Sprintf("load=%.1f/loss=%.3f", load, loss), func(b *testing.B) {
+				o := baseline.DefaultOptions("placement", load)
+				o.Loss = loss
+				report(b, o)
+			})
+		}
+	}
+}
+
 // BenchmarkLimited holds the greedy organisation to its rate, as pkg/limits does.
 func BenchmarkLimited(b *testing.B) {
 	for _, p := range policies {
--- a/internal/baseline/compare_test.go
+++ b/internal/baseline/compare_test.go
@@ -51,6 +51,11 @@
 		Expect(owner.Wasted).To(BeNumerically("<", 0.01))
 	})
 
+	It("ends every request when messages between hosts are lost", func() {
+		lossy := run("placement", 1.0, func(o *baseline.Options) { o.Loss = 0.05 })
+		Expect(lossy.Open).To(BeZero())
+	})
+
 	It("plays the same run for the same seed", func() {
 		Expect(run("placement", 0.9, nil)).To(Equal(run("placement", 0.9, nil)))
 	})
--- a/internal/baseline/engines.go
+++ b/internal/baseline/engines.go
@@ -217,12 +217,18 @@
 	})
 }
 
-// cancel frees what the engine holds for an attempt.
+// cancel frees what the engine holds for an attempt and breaks its stream.
 func (e *fakeEngine) cancel(ref ident.BackendRef) {
 	delete(e.importer, ref)
 	e.advance()
-	e.streams = slices.DeleteFunc(e.streams, func(s *stream) bool { return s.ref == ref })
+	at := slices.IndexFunc(e.streams, func(s *stream) bool { return s.ref == ref })
+	if at < 0 {
+		return
+	}
+	s := e.streams[at]
+	e.streams = slices.Delete(e.streams, at, at+1)
 	e.schedule()
+	s.end(broken, max(0, int(s.total-s.left)))
 }
 
 // kill breaks every call on the engine.
--- a/internal/baseline/policies.go
+++ b/internal/baseline/policies.go
@@ -175,6 +175,9 @@
 func (p *placers) apply(n int, r placement.Result) {
 	from := p.sim.hosts[n].process.Host
 	for _, env := range r.Envelopes {
+		if p.sim.o.Loss > 0 && p.sim.rng.Float64() < p.sim.o.Loss {
+			continue
+		}
 		to := slices.IndexFunc(p.sim.hosts, func(h *simHost) bool { return h.process.Host == env.To })
 		p.sim.net(func() {
 			if !p.sim.hosts[to].dead {
--- a/internal/baseline/sim.go
+++ b/internal/baseline/sim.go
@@ -20,6 +20,7 @@
 	Decode   int // engines
 	Duration time.Duration
 	Seed     uint64
+	Loss     float64     // share of the messages between hosts that are lost
 	Limit    bool        // the greedy organisation is held to its rate in front
 	Lose     engine.Role // role of the engine that dies in mid-run, or ""
 	LoseHost bool        // the owner of the pool dies in mid-run
@@ -183,8 +184,11 @@
 	s.order = append(s.order, e)
 }
 
-// running tells whether requests are still to come or open.
-func (s *sim) running() bool { return s.now < s.o.Duration || s.open > 0 }
+// running tells whether requests are still to come or open. A request that never
+// ends stays open in the summary.
+func (s *sim) running() bool {
+	return s.now < s.o.Duration || s.open > 0 && s.now < s.o.Duration+time.Minute
+}
 
 // clock returns the virtual time as the Placers see it.
 func (s *sim) clock() time.Time { return wallStart.Add(s.now) }
--- a/internal/baseline/summary.go
+++ b/internal/baseline/summary.go
@@ -29,6 +29,7 @@
 // Summary holds the figures of one run. The warm-up is left out.
 type Summary struct {
 	Requests      int
+	Open          int     // requests without an end
 	Goodput       float64       // good requests per second, as a share of the capacity
 	Wasted        float64       // share of the prefill time
 	Worst         float64       // smallest share of admitted work inside the targets, well-behaved organisations
@@ -78,6 +79,7 @@
 	}
 	out.Goodput = float64(good) / (s.o.Duration - warmUp).Seconds() / c
 	out.Recovered = float64(late) / (s.o.Duration/2 - 3*time.Second).Seconds() / c
+	out.Open = s.open
 	out.Orphans = s.orphans
 	out.Wasted = 1 - (s.useful+s.lost).Seconds()/total.Seconds()
 	out.WronglyDenied = float64(denied) / float64(behaved)
--- a/pkg/reclaim/tracker.go
+++ b/pkg/reclaim/tracker.go
@@ -198,10 +198,11 @@
 }
 
 // mayAsk includes claims past half of their interval, so that the claims of one
-// host travel in few queries.
+// host travel in few queries. A query without an answer is repeated soon: the host
+// may lose its claims because of a few lost messages otherwise.
 func (t *Tracker) mayAsk(now time.Time, c *claim) bool {
-	half := t.cfg.ClaimInterval / 2
-	return c.process.Host != "" && now.Sub(c.renewed) >= half && now.Sub(c.asked) >= half
+	old := now.Sub(c.renewed) >= t.cfg.ClaimInterval/2
+	return c.process.Host != "" && old && now.Sub(c.asked) >= t.cfg.ClaimInterval/4
 }
 
 // queries groups the due claims by process. A process is asked when one of its
