Leave the origin out of placement messages

Cause: the messages of one request took 371 bytes, and at the target scale each node sends and receives about 27 requests a second as client and as owner, close to the limit of 11 KB/s. The request id already names the origin. Change: Book and Held have no origin; a Book whose id names no host is dropped.

--- a/internal/baseline/summary.go
+++ b/internal/baseline/summary.go
@@ -29,7 +29,7 @@
 // Summary holds the figures of one run. The warm-up is left out.
 type Summary struct {
 	Requests      int
-	Open          int     // requests without an end
+	Open          int           // requests without an end
 	Goodput       float64       // good requests per second, as a share of the capacity
 	Wasted        float64       // share of the prefill time
 	Worst         float64       // smallest share of admitted work inside the targets, well-behaved organisations
--- a/pkg/placement/bench_test.go
+++ b/pkg/placement/bench_test.go
@@ -125,7 +125,6 @@
 			ref := request(other, n).Ref
 			l.p.Receive(l.now, other.Host, placement.Message{Book: &placement.Book{
 				Pool:         placement.Pool{Model: model, Domain: teku},
-				Origin:       other,
 				Round:        1,
 				Ref:          ref,
 				Organisation: ident.Organisation(fmt.Sprint("org-", n%uint64(orgs))),
--- a/pkg/placement/booking.go
+++ b/pkg/placement/booking.go
@@ -10,7 +10,6 @@
 type booking struct {
 	ref          ident.BackendRef
 	round        uint32
-	origin       ident.Process
 	organisation ident.Organisation
 	tokens       int // to prefill, without the prefix hit
 	maxTokens    int
@@ -54,7 +53,6 @@
 	h := Held{
 		Ref:          b.ref,
 		Round:        b.round,
-		Origin:       b.origin,
 		Organisation: b.organisation,
 		Tokens:       b.tokens,
 		MaxTokens:    b.maxTokens,
--- a/pkg/placement/chaos_test.go
+++ b/pkg/placement/chaos_test.go
@@ -164,8 +164,8 @@
 		}
 		for _, m := range []placement.Message{
 			{Query: &q},
-			{Book: &placement.Book{Pool: placement.Pool{Model: model, Domain: teku}, Origin: p, Prefix: []uint64{1, 2}}},
-			{Handover: &placement.Handover{Bookings: []placement.Held{{Origin: p, Tokens: 3}}}},
+			{Book: &placement.Book{Pool: placement.Pool{Model: model, Domain: teku}, Prefix: []uint64{1, 2}}},
+			{Handover: &placement.Handover{Bookings: []placement.Held{{Tokens: 3}}}},
 		} {
 			data, err := cbor.Marshal(m)
 			Expect(err).NotTo(HaveOccurred())
--- a/pkg/placement/client.go
+++ b/pkg/placement/client.go
@@ -158,7 +158,6 @@
 	a.spills = other && !a.last && len(a.tried) <= p.cfg.Spills
 	p.send(a.to, Message{Book: &Book{
 		Pool:         a.pool,
-		Origin:       p.cfg.Self,
 		Round:        a.round,
 		Ref:          r.Ref,
 		Organisation: r.Organisation,
--- a/pkg/placement/handover.go
+++ b/pkg/placement/handover.go
@@ -80,7 +80,6 @@
 	b := &booking{
 		ref:          h.Ref,
 		round:        h.Round,
-		origin:       h.Origin,
 		organisation: h.Organisation,
 		tokens:       h.Tokens,
 		maxTokens:    h.MaxTokens,
@@ -147,18 +146,17 @@
 			m = &Handover{Pool: h.pool}
 			moved[h.pool] = m
 		}
-		m.Bookings = append(m.Bookings, h.held(now, p.cfg.Self))
+		m.Bookings = append(m.Bookings, h.held(now))
 	}
 	for _, key := range sortedKeys(moved, comparePools) {
 		p.send(p.ownerOf(key), Message{Handover: moved[key]})
 	}
 }
 
-func (h *lease) held(now time.Time, self ident.Process) Held {
+func (h *lease) held(now time.Time) Held {
 	return Held{
 		Ref:          h.booking.Ref,
 		Round:        h.round,
-		Origin:       self,
 		Organisation: h.req.Organisation,
 		Prefill:      h.booking.Prefill.ID,
 		Decode:       h.booking.Decode.ID,
--- a/pkg/placement/message.go
+++ b/pkg/placement/message.go
@@ -26,10 +26,10 @@
 	Domain ident.FailureDomain `cbor:"2,keyasint"`
 }
 
-// Book asks a host to book engines of a pool. It may be repeated.
+// Book asks a host to book engines of a pool. It may be repeated. The answer goes
+// to the host that Ref names.
 type Book struct {
 	Pool         Pool               `cbor:"1,keyasint"`
-	Origin       ident.Process      `cbor:"2,keyasint"` // gets the answer
 	Round        uint32             `cbor:"3,keyasint"` // grows with each host that the origin asks for Ref
 	Ref          ident.BackendRef   `cbor:"4,keyasint"`
 	Organisation ident.Organisation `cbor:"5,keyasint"`
@@ -54,6 +54,15 @@
 	Forwarded bool `cbor:"18,keyasint,omitempty"`
 }
 
+// origin returns the host that owns an attempt, or "" when its id names none.
+func origin(ref ident.BackendRef) ident.HostID {
+	p, err := ref.Request.Owner()
+	if err != nil {
+		return ""
+	}
+	return p.Host
+}
+
 // Queued says that a request waits in the owner's queue.
 type Queued struct {
 	Ref   ident.BackendRef `cbor:"1,keyasint"`
@@ -102,7 +111,6 @@
 type Held struct {
 	Ref          ident.BackendRef   `cbor:"1,keyasint"`
 	Round        uint32             `cbor:"2,keyasint"`
-	Origin       ident.Process      `cbor:"3,keyasint"`
 	Organisation ident.Organisation `cbor:"4,keyasint"`
 	Prefill      ident.BackendID    `cbor:"5,keyasint"`
 	Decode       ident.BackendID    `cbor:"6,keyasint"`
--- a/pkg/placement/owner.go
+++ b/pkg/placement/owner.go
@@ -13,6 +13,9 @@
 
 // onBook handles a request for a booking as owner or stand-in.
 func (p *Placer) onBook(now time.Time, b *Book) {
+	if origin(b.Ref) == "" {
+		return // no host to answer
+	}
 	pl := p.poolFor(now, b)
 	if pl == nil {
 		return
@@ -50,7 +53,7 @@
 // sendQueued tells the origin that its request waits, unless it was decided.
 func (p *Placer) sendQueued(pl *pool, b *Book) {
 	if pl.queue.Has(b.Ref) {
-		p.send(b.Origin.Host, Message{Queued: &Queued{Ref: b.Ref, Round: b.Round}})
+		p.send(origin(b.Ref), Message{Queued: &Queued{Ref: b.Ref, Round: b.Round}})
 	}
 }
 
@@ -188,7 +191,6 @@
 	b := &booking{
 		ref:          t.book.Ref,
 		round:        t.book.Round,
-		origin:       t.book.Origin,
 		organisation: t.book.Organisation,
 		tokens:       t.book.prompt() - best.prefill.hit,
 		maxTokens:    t.book.MaxTokens,
@@ -211,7 +213,7 @@
 }
 
 func (p *Placer) sendBooked(b *booking) {
-	p.send(b.origin.Host, Message{Booked: &Booked{
+	p.send(origin(b.ref), Message{Booked: &Booked{
 		Ref:       b.ref,
 		Round:     b.round,
 		Prefill:   b.prefill.info.ID,
@@ -223,7 +225,7 @@
 
 func (p *Placer) refuse(b *Book, reason Reason, after time.Duration) {
 	p.tracker.Release(p.now, b.Ref)
-	p.send(b.Origin.Host, Message{Refused: &Refused{
+	p.send(origin(b.Ref), Message{Refused: &Refused{
 		Ref:        b.Ref,
 		Round:      b.Round,
 		Reason:     reason,
--- a/pkg/placement/recall.go
+++ b/pkg/placement/recall.go
@@ -49,7 +49,7 @@
 		pl.remove(now, ref)
 		p.released.add(now, ref, b.round)
 		p.tracker.Release(now, ref)
-		p.send(b.origin.Host, Message{Refused: &Refused{
+		p.send(origin(b.ref), Message{Refused: &Refused{
 			Ref:    ref,
 			Round:  b.round,
 			Reason: ReasonRecalled,
--- a/pkg/placement/report.go
+++ b/pkg/placement/report.go
@@ -98,10 +98,8 @@
 		}
 		return
 	}
-	origin, _ := h.Ref.Request.Owner()
 	pl.insert(now, &booking{
 		ref:       h.Ref,
-		origin:    origin,
 		decode:    e,
 		at:        now.Add(-h.Age),
 		prefilled: now,
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -37,7 +37,7 @@
 
 // Request asks for a booking.
 type Request struct {
-	Ref          ident.BackendRef
+	Ref          ident.BackendRef // its request id names this process
 	Organisation ident.Organisation
 	Weight       float64
 	Model        ident.Model
