limits, idempotency: test all faults together, shares and determinism

Further tests cover a growing share, a release of the slot, and for pkg/idempotency determinism, the codec and the end of records.

--- a/pkg/idempotency/idempotency_test.go
+++ b/pkg/idempotency/idempotency_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -164,6 +165,38 @@
 		Expect(verdict(m.Begin(now.Add(11*time.Minute), "a@1#5", key("k"), now))).To(Equal(idempotency.Run))
 	})
 
+	It("keeps no records when their time is over, and acts the same on the same events", func() {
+		session := func() string {
+			s := newSim(4)
+			s.loss, s.dup, s.delay = 0.1, 0.2, 20*time.Millisecond
+			log := ""
+			s.observe = func(e idempotency.Envelope) {
+				b, err := cbor.Marshal(e.Message)
+				Expect(err).NotTo(HaveOccurred())
+				var back idempotency.Message
+				Expect(cbor.Unmarshal(b, &back)).To(Succeed())
+				Expect(back).To(Equal(e.Message))
+				log += string(e.To) + string(b)
+			}
+			s.startAll()
+			for range 100 {
+				s.operate(70 * time.Second)
+			}
+			s.Run(100 * time.Second)
+			for _, p := range s.procs {
+				s.apply(p, p.mem.Drain(s.clock()))
+			}
+			s.Run(240 * time.Second)
+			for _, p := range s.procs {
+				Expect(p.mem.HeldRecords()).To(BeZero())
+			}
+			return log
+		}
+		first := session()
+		Expect(len(first)).To(BeNumerically(">", 10000))
+		Expect(session() == first).To(BeTrue())
+	})
+
 	It("refuses a key that comes back with another body", func() {
 		m, now := pair(unchanged)
 		m.Begin(now, "a@1#1", key("k"), now)
--- a/pkg/idempotency/sim_test.go
+++ b/pkg/idempotency/sim_test.go
@@ -63,6 +63,7 @@
 	delay     time.Duration
 	cut       func(a, b ident.FailureDomain) bool
 	ops       []*operation
+	observe   func(idempotency.Envelope)
 	calls     uint64
 	verdicts  map[idempotency.Verdict]int
 	reasons   map[idempotency.Reason]int
@@ -214,6 +215,9 @@
 }
 
 func (s *sim) send(from *process, e idempotency.Envelope) {
+	if s.observe != nil {
+		s.observe(e)
+	}
 	copies := 1
 	if s.rng.Float64() < s.dup {
 		copies = 2
--- a/pkg/limits/limits_test.go
+++ b/pkg/limits/limits_test.go
@@ -180,6 +180,61 @@
 	})
 })
 
+var _ = Describe("the bound under all faults together", func() {
+	It("holds, so that no combination of faults lets a slot mint twice", func() {
+		for seed := range *seeds {
+			s := newSim(seed, 8, 4, policy)
+			s.loss, s.dup, s.delay = 0.05, 0.1, 20*time.Millisecond
+			s.cut = func(a, b ident.FailureDomain) bool {
+				return s.Now()%(15*time.Second) > 11*time.Second && a != b && (a == "d1" || b == "d1")
+			}
+			s.load(8*time.Second, 38*time.Second, 1.5, func(time.Duration) int { return s.rng.IntN(8) })
+			for at := 9 * time.Second; at < 36*time.Second; at += time.Second {
+				i, kind, noticed := s.rng.IntN(8), s.rng.IntN(4), s.rng.IntN(2) == 0
+				soon := time.Duration(100+s.rng.IntN(3000)) * time.Millisecond
+				s.At(at, func() { s.fault(i, kind, noticed, soon) })
+			}
+			s.Run(42 * time.Second)
+			s.expectBounded()
+		}
+	})
+})
+
+// fault crashes, pauses, drains or replaces the process of a slot.
+func (s *sim) fault(i, kind int, noticed bool, soon time.Duration) {
+	p := s.procs[i]
+	if p.dead || p.paused {
+		return
+	}
+	replace := func() {
+		if s.procs[i] == p {
+			s.old = append(s.old, p)
+			s.start(i, p.domain)
+		}
+	}
+	wake := func() {
+		if noticed {
+			s.apply(p, p.lim.Resumed(s.clock()))
+		}
+		s.wake(p)
+	}
+	switch kind {
+	case 0:
+		p.dead = true
+		s.After(soon, replace)
+	case 1:
+		p.paused = true
+		s.After(2*soon, wake)
+	case 2:
+		p.paused = true
+		s.After(soon, replace)
+		s.After(3*soon, wake)
+	case 3:
+		s.do(p, func() limits.Result { return p.lim.Drain(s.clock()) })
+		s.After(soon, replace)
+	}
+}
+
 // pauseAndReplace pauses the process of slot 0, starts another one in the slot
 // and lets the old one wake among requests.
 func pauseAndReplace(s *sim, at time.Duration, noticed bool) {
--- a/pkg/limits/unit_test.go
+++ b/pkg/limits/unit_test.go
@@ -56,6 +56,32 @@
 		Expect(decide(l.Reserve(now, org, "r3", 150)).Outcome).To(Equal(limits.Granted))
 	})
 
+	It("uses a larger share only after the quarantine, while others may still divide by fewer slots", func() {
+		l, now := lone(limits.Policy{Rate: 100, Burst: 200})
+		ps := map[ident.Organisation]limits.Policy{org: {Rate: 100, Burst: 200}}
+		l.SetPolicies(now, 0.25, ps)
+		Expect(l.Total(now, org)).To(Equal(50.0))
+		l.SetPolicies(now, 0.5, ps)
+		for range 7 {
+			now = now.Add(600 * time.Millisecond)
+			l.Contact(now)
+		}
+		Expect(l.Total(now, org)).To(Equal(50.0))
+		for range 2 {
+			now = now.Add(time.Second)
+			l.Contact(now)
+		}
+		Expect(l.Total(now.Add(time.Second), org)).To(BeNumerically(">", 50))
+	})
+
+	It("mints after a release of the slot only when the predecessor's loans have ended", func() {
+		l := limits.New(limits.DefaultConfig(self, "d0"), epoch)
+		l.SetPolicies(epoch, 1, map[ident.Organisation]limits.Policy{org: policy})
+		l.SlotReleased(epoch)
+		Expect(l.Total(epoch.Add(1250*time.Millisecond), org)).To(BeZero())
+		Expect(l.Total(epoch.Add(1500*time.Millisecond), org)).To(BeNumerically("~", policy.Rate/4, 1))
+	})
+
 	It("loses its tokens without contact, because its slot may have been given away", func() {
 		l, now := lone(limits.Policy{Rate: 100, Burst: 200})
 		later := now.Add(3100 * time.Millisecond)
