Book again without retry budget when an engine is full; count kept KV caches

Cause: 50 prompts at once on one prefill engine: the pool owner counted running prefills only, not the KV caches that the engine keeps until their transfer ends, and each 429 used up retry budget.

--- a/pkg/driver/platform.go
+++ b/pkg/driver/platform.go
@@ -26,10 +26,9 @@
 			return
 		}
 	}
-	ctx, cancel := d.shortly(r.Wait)
+	ctx, cancel := context.WithDeadline(d.ctx, r.Deadline)
 	defer cancel()
 	out, err := d.platform.ReadConfig(ctx, r.After, r.Wait)
-	out.ID = r.ID
 	if err != nil {
 		out.Err = err
 	}
--- a/pkg/node/completion.go
+++ b/pkg/node/completion.go
@@ -113,8 +113,9 @@
 		Offset:       r.delivered,
 		Budget:       n.cfg.FirstTokenTarget - n.now.Sub(r.arrived),
 		Wait:         org.Prefer == ruleset.Wait,
-		Exclude:      r.exclude,
+		Exclude:      r.excluded(),
 	}))
+	r.avoid = ""
 }
 
 func (n *Node) applyPlacement(p placement.Result) {
@@ -298,10 +299,18 @@
 	if !cause.Alive {
 		n.applyPlacement(n.place.Unreachable(n.now, at.ID))
 	}
-	r.exclude = append(r.exclude, at.ID)
 	// No call runs any more, so only earlier work counts as started.
 	r.phase = booking
-	if !n.budget.Allow(n.now, int(r.attempt)-1) {
+	if cause.NotRun && cause.Alive && r.bounced < maxBounces {
+		// The engine did nothing, so another booking adds no load to it. The retry
+		// budget is for work that is done twice.
+		r.bounced++
+		r.avoid = at.ID
+		n.nextAttempt(r)
+		return
+	}
+	r.exclude = append(r.exclude, at.ID)
+	if !n.budget.Allow(n.now, int(r.attempt)-1-r.bounced) {
 		n.fail(r, CodeBackendFailed, shuttingDownRetry, cause.Error()+" at "+string(at.ID))
 		return
 	}
@@ -309,6 +318,10 @@
 	n.nextAttempt(r)
 }
 
+// maxBounces bounds how often a request is booked again because an engine was
+// full or leaving.
+const maxBounces = 8
+
 // nextAttempt books again under a new attempt number, so that answers of the
 // old attempt are dropped.
 func (n *Node) nextAttempt(r *request) {
--- a/pkg/node/request.go
+++ b/pkg/node/request.go
@@ -36,6 +36,8 @@
 	arrived time.Time
 	phase   phase
 	attempt ident.Attempt
+	avoid   ident.BackendID   // was full a moment ago; not for the next attempt
+	bounced int               // attempts that an engine refused because it was full or leaving
 	exclude []ident.BackendID // failed in earlier attempts
 	// started is set once a backend server may have executed a part. From then on
 	// the request is never reported as not run.
@@ -67,6 +69,14 @@
 	return ident.BackendRef{Request: r.id, Attempt: r.attempt}
 }
 
+// excluded returns the backend servers that the next attempt must not use.
+func (r *request) excluded() []ident.BackendID {
+	if r.avoid == "" {
+		return r.exclude
+	}
+	return append(slices.Clone(r.exclude), r.avoid)
+}
+
 // ran says truthfully whether the request was executed so far.
 func (r *request) ran() Ran {
 	switch {
--- a/pkg/placement/engine.go
+++ b/pkg/placement/engine.go
@@ -22,8 +22,9 @@
 	suspect      bool      // a host reported a failure after the last report
 	suspectAfter time.Time // hints before this time are ignored
 
-	jobs      []*booking // prefills not known to have ended, in order
-	headSince time.Time  // when the first of jobs became first
+	jobs      []*booking  // prefills not known to have ended, in order
+	headSince time.Time   // when the first of jobs became first
+	kept      []time.Time // ends of the transfers of ended prefills, as predicted
 	slots     map[ident.BackendRef]*booking
 	unbooked  int // requests held without a booking
 	linkUntil time.Time
@@ -54,9 +55,20 @@
 	return e.info.Slots - len(e.slots) - e.unbooked
 }
 
-// takesPrefill tells whether the engine may hold one more prompt.
-func (e *engineState) takesPrefill() bool {
-	return e.info.Slots == 0 || len(e.jobs) < e.info.Slots
+// takesPrefill tells whether the engine may hold one more prompt. The KV cache of
+// an ended prefill takes memory until its transfer has ended.
+func (e *engineState) takesPrefill(now time.Time) bool {
+	e.kept = slices.DeleteFunc(e.kept, now.After)
+	return e.info.Slots == 0 || len(e.jobs)+len(e.kept) < e.info.Slots
+}
+
+// keepSlack covers the time from the end of a prefill to the start of its
+// transfer, and the delay of both messages.
+const keepSlack = 100 * time.Millisecond
+
+// keep notes the KV cache of a prefill that has ended.
+func (e *engineState) keep(now time.Time, transfer time.Duration) {
+	e.kept = append(e.kept, now.Add(transfer+keepSlack))
 }
 
 // backlog returns the time until the engine has ended its prefills.
--- a/pkg/placement/owner.go
+++ b/pkg/placement/owner.go
@@ -253,6 +253,7 @@
 	b.prefilled = now
 	if b.prefill != nil {
 		b.prefill.finishJob(now, b, true)
+		b.prefill.keep(now, p.scorer.transferOf(b.tokens+b.hit))
 	}
 	p.tracker.Renew(now, m.Ref)
 	p.dispatch(now, pl)
--- a/pkg/placement/scorer.go
+++ b/pkg/placement/scorer.go
@@ -35,11 +35,14 @@
 
 // transfer returns the time to move the KV cache of a request. A prefix hit does
 // not shorten it: the decode engine needs the whole prompt.
-func (s scorer) transfer(b *Book) time.Duration {
+func (s scorer) transfer(b *Book) time.Duration { return s.transferOf(b.prompt()) }
+
+// transferOf returns the time that the KV cache of a prompt takes on an idle link.
+func (s scorer) transferOf(tokens int) time.Duration {
 	if s.cfg.LinkBytesPerSecond <= 0 {
 		return 0
 	}
-	return seconds(float64(b.prompt()) * s.cfg.KVBytesPerToken / s.cfg.LinkBytesPerSecond)
+	return seconds(float64(tokens) * s.cfg.KVBytesPerToken / s.cfg.LinkBytesPerSecond)
 }
 
 // decode returns the cost of a decode engine for a prefill that ends at the given
@@ -120,7 +123,7 @@
 			best, found = s, true
 		}
 	}
-	busy = found && (best.backlog > p.cfg.PrefillAhead || !best.engine.takesPrefill())
+	busy = found && (best.backlog > p.cfg.PrefillAhead || !best.engine.takesPrefill(now))
 	return best, busy, found
 }
 
