Let a leaving host finish its streams: reclaim and pool ownership differ

Cause: a leaving host was reported to the pool owner as not live, so reclaim cancelled its running streams at once. Found by the load generator: 13 to 19 of 639 completions broke when four of eight hosts stopped gracefully in turn. Ruled out: the shutdown itself; in the failing runs the cancel came from the pool owner about 0.2 s after the signal. Change: HostView.Leaving excludes a host from owning pools; Live now means not known to be dead. A host in a domain that cannot be reached is judged by its silence to claim queries only. Result: the e2e spec with 50 streams and a second host in the domain fails before (stream 7 cut) and passes after.

--- a/internal/e2e/caller_test.go
+++ b/internal/e2e/caller_test.go
@@ -71,8 +71,8 @@
 })
 
 var _ = Describe("A graceful stop", func() {
-	It("cuts none of 50 streams", func() {
-		f := startFleet(4, rulesText(ampleRate...))
+	DescribeTable("cuts none of 50 streams", func(hosts int) {
+		f := startFleet(hosts, rulesText(ampleRate...))
 		const streams = 50
 		var wg sync.WaitGroup
 		var started sync.WaitGroup
@@ -99,7 +99,10 @@
 		}
 		Eventually(f.Hosts[0].Done(), fleet.WaitLimit).Should(BeClosed())
 		Expect(f.Hosts[0].Err()).NotTo(HaveOccurred())
-	})
+	},
+		Entry("of the only host of a domain", 4),
+		Entry("while another host of the domain reclaims engine memory", 8),
+	)
 })
 
 var _ = Describe("A decode engine that dies", func() {
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -134,10 +134,15 @@
 // the pools of other domains are reached. A delegate's incarnation is not known.
 func (n *Node) placementHosts(v membership.View) []placement.HostView {
 	out := make([]placement.HostView, 0, len(v.Hosts)+1)
-	self := placement.HostView{Process: n.cfg.Self, Domain: n.cfg.Domain, Live: !n.drain.active}
+	self := placement.HostView{Process: n.cfg.Self, Domain: n.cfg.Domain, Live: true, Leaving: n.drain.active}
 	out = append(out, self)
 	for _, h := range v.Hosts {
-		out = append(out, placement.HostView{Process: h.Process, Domain: h.Domain, Live: usable(h)})
+		out = append(out, placement.HostView{
+			Process: h.Process,
+			Domain:  h.Domain,
+			Live:    h.State != membership.Dead,
+			Leaving: h.Leaving,
+		})
 	}
 	for _, d := range v.Domains {
 		for _, h := range d.Delegates {
--- a/pkg/placement/placer.go
+++ b/pkg/placement/placer.go
@@ -189,7 +189,11 @@
 	known := make(map[ident.HostID]reclaim.Host, len(hosts))
 	for _, h := range hosts {
 		p.hosts[h.Process.Host] = h
-		known[h.Process.Host] = reclaim.Host{Incarnation: h.Process.Incarnation, Live: h.Live}
+		if h.Domain == p.cfg.Domain || h.Live {
+			// Of a host in a domain that cannot be reached nothing is known; its
+			// silence to claim queries decides.
+			known[h.Process.Host] = reclaim.Host{Incarnation: h.Process.Incarnation, Live: h.Live}
+		}
 	}
 	known[p.cfg.Self.Host] = reclaim.Host{Incarnation: p.cfg.Self.Incarnation, Live: true}
 	p.tracker.SetHosts(known)
@@ -229,7 +233,7 @@
 func (p *Placer) liveIn(wanted func(ident.FailureDomain) bool) []ident.HostID {
 	var live []ident.HostID
 	for id, h := range p.hosts {
-		if h.Live && wanted(h.Domain) && id != p.cfg.Self.Host {
+		if h.Live && !h.Leaving && wanted(h.Domain) && id != p.cfg.Self.Host {
 			live = append(live, id)
 		}
 	}
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -12,7 +12,8 @@
 type HostView struct {
 	Process ident.Process
 	Domain  ident.FailureDomain
-	Live    bool
+	Live    bool // not known to be dead; its requests keep their engines
+	Leaving bool // runs its requests to their end and owns no pool any more
 }
 
 // PoolFree is the free capacity of a pool, in decode slots.
