--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -52,6 +52,7 @@
 	case membership.Contact:
 		n.limits.Contact(e.Sent)
 		n.once.Contact(e.Sent)
+		n.contactOrders(e.Sent)
 	case membership.Superseded:
 		n.supersede()
 	case membership.SlotReleased:
@@ -151,10 +152,15 @@
 // the pools of other domains are reached. A delegate's incarnation is not known.
 func (n *Node) placementHosts(v membership.View) []placement.HostView {
 	out := make([]placement.HostView, 0, len(v.Hosts)+1)
-	self := placement.HostView{Process: n.cfg.Self, Domain: n.cfg.Domain, Live: !n.drain.active}
+	self := placement.HostView{Process: n.cfg.Self, Domain: n.cfg.Domain, Live: true, Leaving: n.drain.active}
 	out = append(out, self)
 	for _, h := range v.Hosts {
-		out = append(out, placement.HostView{Process: h.Process, Domain: h.Domain, Live: usable(h)})
+		out = append(out, placement.HostView{
+			Process: h.Process,
+			Domain:  h.Domain,
+			Live:    h.State != membership.Dead,
+			Leaving: h.Leaving,
+		})
 	}
 	for _, d := range v.Domains {
 		for _, h := range d.Delegates {
@@ -283,6 +289,7 @@
 func (n *Node) contact() {
 	n.limits.Contact(n.now)
 	n.once.Contact(n.now)
+	n.contactOrders(n.now)
 }
 
 // watchHostsIfDue watches the host list on configuration readers, and on a host
--- a/pkg/node/session_test.go
+++ b/pkg/node/session_test.go
@@ -89,6 +89,7 @@
 }
 
 func (s *session) publish(revision ident.Revision, text string) {
+	s.step(node.Tick{}) // starts the next read
 	g := confsync.NewGeneration(revision, []byte(text))
 	s.step(node.ConfigRead{Outcome: confsync.ReadOutcome{Generation: g, PlatformVersion: uint64(revision)}})
 }
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -12,7 +12,8 @@
 type HostView struct {
 	Process ident.Process
 	Domain  ident.FailureDomain
-	Live    bool
+	Live    bool // not known to be dead; its requests keep their engines
+	Leaving bool // runs its requests to their end and owns no pool any more
 }
 
 // PoolFree is the free capacity of a pool, in decode slots.
@@ -37,7 +38,7 @@
 
 // Request asks for a booking.
 type Request struct {
-	Ref          ident.BackendRef
+	Ref          ident.BackendRef // its request id names this process
 	Organisation ident.Organisation
 	Weight       float64
 	Model        ident.Model
