Count contact from when the acknowledged message was sent

Cause: the lease of a slot was renewed from the arrival of an acknowledgement, so an acknowledgement that was delayed on the way stretched it by the delay, within which a replacement may begin to mint. Change: limits.Contact and idempotency.Contact take the time at which the acknowledged heartbeat was sent, which membership reports.

--- a/pkg/idempotency/memory.go
+++ b/pkg/idempotency/memory.go
@@ -265,13 +265,22 @@
 // Contact records an acknowledgement from a peer or an answer from the platform,
 // as for pkg/limits. From the first Contact on, an owner that has had none for the
 // contact timeout forgets its records, because its slot may have been given away.
-func (m *Memory) Contact(now time.Time) {
-	m.advance(now)
+//
+// at is when the acknowledged message was sent, so that a late acknowledgement does
+// not stretch the lease.
+func (m *Memory) Contact(at time.Time) {
+	m.advance(at)
+	end := at.Add(m.cfg.ContactTimeout)
+	if !end.After(m.now) {
+		return
+	}
 	if m.owner.lapsed {
 		m.owner.lapsed = false
 		m.owner.forget(m.now.Add(m.cfg.Quarantine))
 	}
-	m.owner.leaseEnd = m.now.Add(m.cfg.ContactTimeout)
+	if end.After(m.owner.leaseEnd) {
+		m.owner.leaseEnd = end
+	}
 }
 
 // Receive handles a message of another host.
--- a/pkg/limits/slot.go
+++ b/pkg/limits/slot.go
@@ -91,16 +91,21 @@
 }
 
 // Contact records an acknowledgement from a peer or an answer from the platform.
-// After a lapse the process waits out a new quarantine, because its slot may have
-// been given to another process in the meantime.
-func (l *Limiter) Contact(now time.Time) {
-	l.advance(now)
+// at is when the acknowledged message was sent, so that a late acknowledgement does
+// not stretch the lease. After a lapse the process waits out a new quarantine,
+// because its slot may have been given to another process in the meantime.
+func (l *Limiter) Contact(at time.Time) {
+	l.advance(at)
 	s := &l.slot
+	end := at.Add(l.cfg.ContactTimeout)
+	if !end.After(s.now) {
+		return
+	}
 	if s.lapsed {
 		s.lapsed = false
 		s.mintFrom = s.now.Add(l.cfg.Quarantine)
 	}
-	s.leaseEnd = s.now.Add(l.cfg.ContactTimeout)
+	s.leaseEnd = latest(s.leaseEnd, end)
 }
 
 // Resumed resets the limiter after a pause of the process: it drops all tokens
--- a/pkg/limits/unit_test.go
+++ b/pkg/limits/unit_test.go
@@ -237,3 +237,14 @@
 		Expect(c.Validate()).NotTo(Succeed())
 	})
 })
+
+var _ = Describe("Contact", func() {
+	It("counts from when the acknowledged message was sent, so that a late one does not stretch the lease", func() {
+		l, sent := lone(limits.Policy{Rate: 100, Burst: 200})
+		timeout := limits.DefaultConfig(self, "d0").ContactTimeout
+		l.Tick(sent.Add(timeout - time.Millisecond))
+		l.Contact(sent)
+		Expect(l.Mints(sent.Add(timeout - time.Millisecond))).To(BeTrue())
+		Expect(l.Mints(sent.Add(timeout + time.Millisecond))).To(BeFalse())
+	})
+})
