Send orders only while the whole domain hears this host; age over domains

Cause: a newcomer can take over a pool from an owner that still lives, and both could order engines that ignore fencing numbers. The configuration's age ignored what other domains hear of the platform. Change: a pool owner orders only while every host of its domain that is not dead acknowledges it; delegates of other domains count for the age of the configuration.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -43,6 +43,7 @@
 	hostsAt    time.Time
 	ordersAt   time.Time
 	hostsBusy  bool
+	heard      bool // every host of the domain that is not dead hears this one
 	reader     bool // this host watches the platform
 	stats      Stats
 }
--- a/pkg/node/orders.go
+++ b/pkg/node/orders.go
@@ -36,7 +36,7 @@
 	n.ordersAt = n.now.Add(orderInterval)
 	owned := map[placement.Pool]bool{}
 	for _, d := range n.place.Demand() {
-		if d.Pool.Domain == n.cfg.Domain && !n.drain.active {
+		if d.Pool.Domain == n.cfg.Domain && !n.drain.active && n.heard {
 			owned[d.Pool] = true
 			n.noteDemand(d)
 		}
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -96,6 +96,18 @@
 	n.place.SetFree(n.now, poolsFree(v))
 	n.applyConf(n.conf.SetPeers(n.now, confPeers(v)))
 	n.setSlots(v)
+	n.heard = allAcked(v.Hosts)
+}
+
+// allAcked reports whether every host of the domain that is not dead hears this
+// one. A host that does not may have taken over its pools.
+func allAcked(hosts []membership.Host) bool {
+	for _, h := range hosts {
+		if h.State != membership.Dead && !h.Acked {
+			return false
+		}
+	}
+	return true
 }
 
 func usable(h membership.Host) bool {
@@ -185,7 +197,7 @@
 		}
 		for _, h := range d.Delegates {
 			// The digest comes with the delegate's own messages; see RevisionHeard.
-			out = append(out, confsync.Peer{Host: h, Remote: true})
+			out = append(out, confsync.Peer{Host: h, Remote: true, Revision: d.Revision, PlatformSilent: d.PlatformSilent})
 		}
 	}
 	return out
