--- a/pkg/entryhost/settings_test.go
+++ b/pkg/entryhost/settings_test.go
@@ -19,6 +19,10 @@
 	"github.com/alexflint/go-arg"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/mulberrystream/mulberrystream/pkg/hostlist"
+	"github.com/mulberrystream/mulberrystream/pkg/node"
+	"github.com/mulberrystream/mulberrystream/pkg/peer"
 )
 
 func TestEntryHost(t *testing.T) {
@@ -76,6 +80,11 @@
 	})
 })
 
+// receiver takes the batches of a peer server.
+type receiver chan node.Batch
+
+func (r receiver) Receive(b node.Batch) { r <- b }
+
 // authority signs certificates for a test.
 type authority struct {
 	cert *x509.Certificate
@@ -156,6 +165,27 @@
 		Expect(handshake(s, s)).To(Succeed())
 	})
 
+	It("carry batches between hosts over HTTP/2", func(ctx SpecContext) {
+		dir := GinkgoT().TempDir()
+		s := settings(newAuthority(dir, "fleet"), dir)
+		serverTLS, clientTLS, err := s.peerTLS()
+		Expect(err).NotTo(HaveOccurred())
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		got := make(receiver, 1)
+		server := peer.NewServer(got, serverTLS)
+		go func() { _ = servePeers(server, ln, true) }()
+		DeferCleanup(server.Close)
+		client := peer.NewClient(clientTLS)
+		defer client.Close()
+		b := node.Batch{To: "h", Messages: []node.Message{{HostList: &hostlist.Message{Ask: &hostlist.Ask{Version: 1}}}}}
+		Expect(client.Deliver(ctx, ln.Addr().String(), b)).To(Succeed())
+		Expect(<-got).To(Equal(b))
+		plain := peer.NewClient(nil)
+		defer plain.Close()
+		Expect(plain.Deliver(ctx, ln.Addr().String(), b)).NotTo(Succeed())
+	})
+
 	It("refuse a process without the fleet's certificate, as client and as server", func() {
 		dir, other := GinkgoT().TempDir(), GinkgoT().TempDir()
 		fleet := settings(newAuthority(dir, "fleet"), dir)
