Export the node's counters, log the organisation of refusals, cancel less

Cause: operators could not see pauses, retries, stale answers or the revision in force in /metrics; every whole answer cost one cancel at a prefill engine that had already dropped the KV cache. Change: /metrics has the node's counters and gauges; a refusal is logged with its organisation; no cancel after a complete answer.

--- a/pkg/driver/driver.go
+++ b/pkg/driver/driver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -114,20 +115,34 @@
 	}
 }
 
-// Status returns what the host knows of itself and its peers.
-func (d *Driver) Status(ctx context.Context) (status.Status, error) {
-	result := make(chan status.Status, 1)
-	query := func(n *node.Node) { result <- n.Status(time.Now()) }
+var errStopped = errors.New("the host has stopped")
+
+// Inspect runs a query of the node between two of its steps. The query must not
+// keep the node.
+func (d *Driver) Inspect(ctx context.Context, query func(n *node.Node)) error {
+	done := make(chan struct{})
+	run := func(n *node.Node) {
+		defer close(done)
+		query(n)
+	}
 	select {
-	case d.queries <- query:
-		return <-result, nil
+	case d.queries <- run:
+		<-done
+		return nil
 	case <-ctx.Done():
-		return status.Status{}, fmt.Errorf("driver: status: %w", ctx.Err())
+		return fmt.Errorf("driver: inspect: %w", ctx.Err())
 	case <-d.exited:
-		return status.Status{}, fmt.Errorf("driver: status: the host has stopped")
+		return fmt.Errorf("driver: inspect: %w", errStopped)
 	}
 }
 
+// Status returns what the host knows of itself and its peers.
+func (d *Driver) Status(ctx context.Context) (status.Status, error) {
+	var s status.Status
+	err := d.Inspect(ctx, func(n *node.Node) { s = n.Status(time.Now()) })
+	return s, err
+}
+
 func (d *Driver) loop() error {
 	ticker := time.NewTicker(d.cfg.TickInterval)
 	defer ticker.Stop()
--- a/pkg/driver/effects.go
+++ b/pkg/driver/effects.go
@@ -73,12 +73,25 @@
 func (d *Driver) refuse(e node.Refuse) {
 	d.log.Info("node: request refused",
 		zap.String("request", string(e.ID)),
+		zap.String("organisation", string(d.organisation(e.ID))),
 		zap.String("code", string(e.Code)),
 		zap.String("ran", string(e.Ran)),
 		zap.String("detail", e.Detail))
 	d.end(e.ID, End{Refusal: &e})
 }
 
+// organisation returns whose request it is, empty on open routes.
+func (d *Driver) organisation(id ident.RequestID) ident.Organisation {
+	c := d.call(id)
+	switch {
+	case c == nil:
+		return ""
+	case c.completion != nil:
+		return c.completion.Organisation
+	}
+	return c.service.Organisation
+}
+
 // end gives a call its only end.
 func (d *Driver) end(id ident.RequestID, e End) {
 	c := d.call(id)
--- a/pkg/entryhost/admin.go
+++ b/pkg/entryhost/admin.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/mulberrystream/mulberrystream/pkg/node"
 	"github.com/mulberrystream/mulberrystream/pkg/slo"
 	"github.com/mulberrystream/mulberrystream/pkg/status"
 )
@@ -22,7 +25,7 @@
 	mux.HandleFunc("GET /readyz", h.readyz)
 	mux.HandleFunc("GET "+status.Path, h.status)
 	mux.HandleFunc("GET "+slo.Path, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.meter.report()) })
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { h.meter.write(w) })
+	mux.HandleFunc("GET /metrics", h.metrics)
 	mux.Handle("/loglevel", h.level)
 	return &http.Server{
 		Handler:           mux,
@@ -31,6 +34,14 @@
 	}
 }
 
+func (h *Host) metrics(w http.ResponseWriter, r *http.Request) {
+	h.meter.write(w)
+	err := h.driver.Inspect(r.Context(), func(n *node.Node) { writeNode(w, n.Stats(), n.Status(time.Now())) })
+	if err != nil {
+		h.log.Warn("entryhost: metrics without the node's part", zap.Error(err))
+	}
+}
+
 func (h *Host) readyz(w http.ResponseWriter, _ *http.Request) {
 	if !h.driver.Ready() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
--- a/pkg/entryhost/meter.go
+++ b/pkg/entryhost/meter.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +14,7 @@
 	"github.com/mulberrystream/mulberrystream/pkg/frontend"
 	"github.com/mulberrystream/mulberrystream/pkg/node"
 	"github.com/mulberrystream/mulberrystream/pkg/slo"
+	"github.com/mulberrystream/mulberrystream/pkg/status"
 )
 
 // meter keeps the metrics and the service-level burn of completions. Outcomes
@@ -91,3 +94,25 @@
 	m.set.WritePrometheus(w)
 	metrics.WriteProcessMetrics(w)
 }
+
+// writeNode prints what the node counts itself.
+func writeNode(w io.Writer, s node.Stats, st status.Status) {
+	metrics.WriteCounterUint64(w, "mulberrystream_pauses_total", s.Pauses)
+	metrics.WriteCounterUint64(w, "mulberrystream_retries_total", s.Retries)
+	metrics.WriteCounterUint64(w, "mulberrystream_stale_answers_total", s.StaleAnswers)
+	for _, code := range slices.Sorted(maps.Keys(s.Refused)) {
+		metrics.WriteCounterUint64(w, fmt.Sprintf("mulberrystream_refused_total{code=%q}", code), s.Refused[code])
+	}
+	metrics.WriteGaugeUint64(w, "mulberrystream_ready", flag(st.Ready))
+	metrics.WriteGaugeUint64(w, "mulberrystream_mints_tokens", flag(st.Mints))
+	metrics.WriteGaugeUint64(w, "mulberrystream_in_flight_requests", uint64(st.InFlight))
+	metrics.WriteGaugeUint64(w, "mulberrystream_configuration_revision", uint64(st.Revision))
+	metrics.WriteGaugeFloat64(w, "mulberrystream_configuration_age_seconds", float64(st.ConfigAgeMS)/1000)
+}
+
+func flag(on bool) uint64 {
+	if on {
+		return 1
+	}
+	return 0
+}
--- a/pkg/node/completion.go
+++ b/pkg/node/completion.go
@@ -260,8 +260,8 @@
 	r.delivered = max(r.delivered, e.Delivered)
 	switch {
 	case e.Err == nil:
+		// The prefill engine dropped the KV cache when it had exported it.
 		n.emit(Complete{ID: r.id})
-		n.emit(CancelAt{Backend: r.booking.Prefill, Ref: r.ref()})
 		n.end(r)
 	case r.recalling && r.delivered > 0:
 		n.cancelBooking(r)
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"maps"
 	"time"
 
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
@@ -72,8 +73,12 @@
 	return out
 }
 
-// Stats returns what the node has counted since its start.
-func (n *Node) Stats() Stats { return n.stats }
+// Stats returns a copy of what the node has counted since its start.
+func (n *Node) Stats() Stats {
+	s := n.stats
+	s.Refused = maps.Clone(n.stats.Refused)
+	return s
+}
 
 // InHand returns the ids of the requests that the node holds.
 func (n *Node) InHand() []ident.RequestID {
