soak: seeded runs of real processes under faults

Cause: the ten invariants of docs/design.md were checked on single scenarios only, not under faults of processes, network and platform.

Change: package internal/soak starts 2 entry hosts in each of 2 to 4 domains with a proxy before each host, backend server and the platform, sends mixed load, injects one fault or a pair, publishes a configuration, repairs, waits for quiet and runs internal/checker. faultproxy can cut the connections of chosen source processes, found by their sockets while a cut is set; a search at each connection exhausted the 20000 open files of the test process in seconds. load sends answers that are not streamed, calls without Idempotency-Key and calls of open routes. make soak runs many seeds.

--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,14 @@
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem $(PKGS)
+
+SEED ?= 1
+RUNS ?= 40
+
+## soak: seeded runs under faults, a table of violations, and the command that
+## repeats each failure. SEED is the first seed, RUNS their number. FAULTS (names
+## joined by +) and DOMAINS fix what the seed would choose; SOAK_OUT is a directory
+## for the records and logs of failed runs.
+soak:
+	SEED=$(SEED) RUNS=$(RUNS) FAULTS=$(FAULTS) DOMAINS=$(DOMAINS) SOAK_OUT=$(SOAK_OUT) \
+		$(GO) test -count=1 -timeout 2h -v ./internal/soak
--- a/internal/faultproxy/faultproxy_test.go
+++ b/internal/faultproxy/faultproxy_test.go
@@ -95,6 +95,23 @@
 		Entry("to the client", faultproxy.Faults{CutToClient: true}),
 	)
 
+	It("holds the bytes of one source and forwards those of another", func() {
+		sources := make(chan string, 2)
+		sources <- "a"
+		p.SetSource(func(net.Conn) string { return <-sources })
+		p.CutFrom(map[string]faultproxy.Faults{"a": {CutToServer: true}})
+		c, b := dial()
+		Eventually(p.Open).Should(Equal(1))
+		sources <- "b"
+		n, bn := dial()
+		send(c, "x")
+		send(n, "y")
+		Eventually(bn).Should(gbytes.Say("y"))
+		Consistently(b, 20*time.Millisecond).ShouldNot(gbytes.Say("x"))
+		p.CutFrom(nil)
+		Eventually(b).Should(gbytes.Say("x"))
+	})
+
 	It("silences open connections for ever while new ones work", func() {
 		c, b := dial()
 		send(c, "a")
--- a/internal/faultproxy/http.go
+++ b/internal/faultproxy/http.go
@@ -26,7 +26,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(Status{
-			Addr: p.Addr(), Target: p.target, Open: p.Open(), Total: p.Total(), Faults: p.Faults(),
+			Addr: p.Addr(), Target: p.Target(), Open: p.Open(), Total: p.Total(), Faults: p.Faults(),
 		})
 	})
 	mux.HandleFunc("POST /faults", func(w http.ResponseWriter, r *http.Request) {
--- a/internal/faultproxy/link.go
+++ b/internal/faultproxy/link.go
@@ -19,6 +19,7 @@
 	once  sync.Once
 
 	// Under the proxy's lock.
+	source string
 	silent bool
 	budget [2]int  // bytes until the reset; negative is no limit
 	ended  [2]bool // direction half-closed
@@ -136,7 +137,7 @@
 func (l *link) open(d Direction) bool {
 	for {
 		l.proxy.mu.Lock()
-		held := l.silent || l.proxy.faults.holds(d)
+		held := l.silent || l.proxy.faults.holds(d) || l.proxy.cuts[l.source].holds(d)
 		changed := l.proxy.changed
 		l.proxy.mu.Unlock()
 		if !held {
--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -50,10 +51,12 @@
 
 // Proxy forwards connections to one target.
 type Proxy struct {
-	target string
-	ln     net.Listener
+	ln net.Listener
 
 	mu      sync.Mutex
+	target  string
+	source  func(client net.Conn) string
+	cuts    map[string]Faults // by source; only the cuts count
 	rng     *rand.Rand
 	faults  Faults
 	changed chan struct{} // closed and replaced at each change
@@ -109,6 +112,59 @@
 	return p.faults
 }
 
+// SetTarget replaces the target of new connections.
+func (p *Proxy) SetTarget(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = addr
+}
+
+// Target returns the address of the target.
+func (p *Proxy) Target() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.target
+}
+
+// SetSource sets the function that names the process behind a new connection, for
+// cuts that concern some processes only.
+func (p *Proxy) SetSource(source func(client net.Conn) string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.source = source
+}
+
+// CutFrom replaces the cuts of connections by their source. Fields of the faults
+// other than the cuts have no effect.
+func (p *Proxy) CutFrom(cuts map[string]Faults) {
+	p.mu.Lock()
+	p.cuts = maps.Clone(cuts)
+	p.mu.Unlock()
+	if len(cuts) > 0 {
+		for _, l := range p.snapshot() {
+			p.identify(l)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wakeLocked()
+}
+
+// identify finds the source of a connection. It is done only while a cut is set,
+// because a search through the sockets of the machine can take long.
+func (p *Proxy) identify(l *link) {
+	p.mu.Lock()
+	find, known := p.source, l.source != "" || len(p.cuts) == 0
+	p.mu.Unlock()
+	if find == nil || known {
+		return
+	}
+	source := find(l.ends[ToClient])
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.source = source
+}
+
 // Open returns the number of open connections.
 func (p *Proxy) Open() int { return len(p.snapshot()) }
 
@@ -199,12 +255,16 @@
 // the target sees it as the network would show it after the fault.
 func (p *Proxy) connect(client net.Conn) {
 	defer p.wg.Done()
-	server, err := net.Dial("tcp", p.target)
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	server, err := net.Dial("tcp", target)
 	if err != nil {
 		resetConn(client)
 		return
 	}
 	l := newLink(p, client, server)
+	p.identify(l)
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -153,6 +153,9 @@
 	return string(h.log)
 }
 
+// PID returns the process id.
+func (h *Host) PID() int { return h.cmd.Process.Pid }
+
 // Pause stops the process without its knowledge.
 func (h *Host) Pause() { _ = h.cmd.Process.Signal(syscall.SIGSTOP) }
 
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -84,7 +84,9 @@
 	req.Header.SetHost(c.conn.Addr())
 	req.Header.SetRequestURI(path)
 	req.Header.SetContentType("application/json")
-	req.Header.Set("Authorization", "Bearer "+key)
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
 	req.SetBodyRaw(body)
 	return req
 }
@@ -95,7 +97,7 @@
 	text  func(tokens int) bool // false makes the caller go away
 }
 
-// Complete sends a completion and reads its stream into r.
+// Complete sends a completion and reads its answer into r.
 func (c *Client) Complete(ctx context.Context, key string, body completionBody, r *Result, o observer) {
 	payload, _ := json.Marshal(body)
 	r.Sent = time.Now()
@@ -110,9 +112,28 @@
 		r.deny(s, s.Header("Retry-After"))
 		return
 	}
+	if !body.Stream {
+		r.readWhole(ctx, s, o)
+		return
+	}
 	c.readEvents(ctx, s, r, o)
 }
 
+// readWhole reads an answer that is not streamed.
+func (r *Result) readWhole(ctx context.Context, body io.Reader, o observer) {
+	var e eventBody
+	if err := json.NewDecoder(body).Decode(&e); err != nil {
+		r.fail(ctx, err)
+		return
+	}
+	for _, ch := range e.Choices {
+		r.Text += ch.Text
+	}
+	r.note(strings.Count(r.Text, " "), 0, o)
+	r.Terminated = 1
+	r.Outcome = record.Answered
+}
+
 func (c *Client) readEvents(ctx context.Context, s *sendonce.Stream, r *Result, o observer) {
 	var text strings.Builder
 	defer func() { r.Text = text.String() }()
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -133,7 +133,7 @@
 func (x *runner) complete(ctx context.Context, a Arrival) Result {
 	org := x.work.Organisations[a.Organisation]
 	prompt := x.work.Prompt(a)
-	body := completionBody{Model: string(x.work.Model), Prompt: prompt, MaxTokens: a.MaxTokens, Stream: true}
+	body := completionBody{Model: string(x.work.Model), Prompt: prompt, MaxTokens: a.MaxTokens, Stream: !a.Whole}
 	want := content.Answer(prompt, a.MaxTokens)
 	base := record.Record{
 		Organisation: org.Name,
@@ -173,7 +173,10 @@
 		NoRepeat:     a.Call.NoRepeat,
 	}
 	key := ""
-	if a.Call.NoRepeat {
+	if a.Call.Open {
+		base.Organisation, base.Key, org.Key = "", "", ""
+	}
+	if a.Call.NoRepeat && !a.Call.NoKey {
 		key = idempotencyKey(x.work.Seed, a.Index)
 	}
 	tries := 0
@@ -189,7 +192,7 @@
 		return r
 	}
 	r := x.attempt(a, send)
-	if doubtful := r.Outcome == record.Broken || r.Ran == "unknown"; doubtful && a.Call.NoRepeat {
+	if doubtful := r.Outcome == record.Broken || r.Ran == "unknown"; doubtful && key != "" {
 		a.Host++
 		r = x.attempt(a, send)
 	}
--- a/internal/load/workload.go
+++ b/internal/load/workload.go
@@ -68,7 +68,9 @@
 // Call is a kind of call of a plain service.
 type Call struct {
 	Path     string
-	NoRepeat bool    // sent with an idempotency key
+	NoRepeat bool    // sent with an idempotency key, unless NoKey
+	NoKey    bool    // sent without an idempotency key, and by its caller only once
+	Open     bool    // sent without a caller key
 	PerSec   float64 // over all organisations
 }
 
@@ -92,6 +94,7 @@
 	PrefixShare   float64 // share of prompts that begin with one, if long enough
 	CancelShare   float64 // share of callers that go away in the middle
 	StopShare     float64 // share of answers that end before max_tokens
+	WholeShare    float64 // share of completions that are not streamed
 	Seed          uint64
 }
 
@@ -107,6 +110,7 @@
 	Stop         int // answer ends after so many tokens; 0 is max_tokens
 	CancelAfter  int // the caller goes away after so many tokens; 0 is never
 	Host         int // random number that chooses the entry host
+	Whole        bool
 }
 
 // Requests returns the completions a second at load 1 and their mean tokens, with
@@ -184,6 +188,8 @@
 	stop, useStop := 1+rng.IntN(a.MaxTokens), rng.Float64()
 	cancel, useCancel := 1+rng.IntN(a.MaxTokens), rng.Float64()
 	a.Host = rng.Int()
+	// A draw of its own would change the arrivals of the seeds in use.
+	a.Whole = float64(a.Host>>16&0xffff) < w.WholeShare*0x10000
 	if w.Prefixes > 0 && usePrefix < w.PrefixShare && a.Prompt > w.PrefixTokens+extraWords {
 		a.Prefix = prefix
 	}
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,273 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/mulberrystream/mulberrystream/internal/checker"
+	"github.com/mulberrystream/mulberrystream/internal/fleet"
+	"github.com/mulberrystream/mulberrystream/internal/load"
+	"github.com/mulberrystream/mulberrystream/internal/record"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+)
+
+// Times of a run.
+const (
+	warmUp     = 1500 * time.Millisecond // load before the first fault
+	betweenTwo = 500 * time.Millisecond  // between the faults of a pair
+	faultTime  = 4 * time.Second         // until the repair, above the 3 s of failure detection
+	afterwards = 1500 * time.Millisecond // load after the repair
+	// bound is that of the design page for recalls, leaving servers, withdrawn keys
+	// and configurations.
+	bound = 6 * time.Second
+	// callerTimeout is far above the time of any answer; a caller that reaches it
+	// got neither an answer nor a refusal.
+	callerTimeout = 20 * time.Second
+)
+
+// unanswered is the row of the table for calls without answer and refusal, which
+// break the first guarantee of the design page but none of the invariants.
+const unanswered = 0
+
+// run is one seeded run.
+type run struct {
+	*cluster
+	seed    uint64
+	rng     *rand.Rand
+	cfg     checker.Config
+	callers *record.Log
+	load    load.Workload
+	rules   string // that the faults of the run have published
+
+	taken   map[string]bool // targets of faults so far
+	outages []checker.Outage
+	extra   []checker.Violation // found outside the checkers
+	repairs []func() error
+	lasting []func() error // repairs after the end of the load
+}
+
+// Outcome is what a run found.
+type Outcome struct {
+	Seed       uint64
+	Faults     []string
+	Domains    int
+	Violations []checker.Violation
+	Requests   int
+	Answered   int
+	Err        error // of the harness, or a fleet that did not recover
+	records    []record.Record
+}
+
+// workload is the mixed load of a run, with short prompts so that many requests
+// fit into its few seconds.
+func workload(seed uint64, duration time.Duration) load.Workload {
+	w := load.Bagmati()
+	for i := range w.Organisations {
+		w.Organisations[i].Prompt.Max = min(w.Organisations[i].Prompt.Max, 3000)
+	}
+	_ = w.SetFactor("kathmandu-clips", 4) // several times its rate
+	w.Calls = []load.Call{
+		{Path: "/counter/refunds", NoRepeat: true, PerSec: 5},
+		{Path: "/counter/returns", NoRepeat: true, NoKey: true, PerSec: 5},
+		{Path: "/counter/balances", PerSec: 5},
+		{Path: "/counter/hours", Open: true, PerSec: 3},
+	}
+	w.Duration = duration
+	w.CancelShare = 0.1
+	w.WholeShare = 0.3
+	w.Seed = seed
+	return w
+}
+
+func newRun(c *cluster, seed uint64) *run {
+	w := workload(seed, 0)
+	x := &run{
+		cluster: c,
+		seed:    seed,
+		rng:     rand.New(rand.NewPCG(seed, 7)),
+		cfg:     w.CheckConfig(),
+		callers: &record.Log{},
+		rules:   c.rules,
+		taken:   map[string]bool{},
+	}
+	x.cfg.OpenRoutes = []string{"/counter/hours"}
+	x.cfg.LeaveBound = bound
+	for _, h := range c.Hosts {
+		x.cfg.Hosts = append(x.cfg.Hosts, h.ID)
+	}
+	return x
+}
+
+// execute runs the faults on a cluster. The cluster can be used again if the
+// outcome has no error.
+func execute(c *cluster, seed uint64, faults []Fault) Outcome {
+	out := Outcome{Seed: seed, Domains: len(c.Deployment.Plan.Domains)}
+	duration := warmUp + faultTime + afterwards
+	for _, f := range faults {
+		out.Faults = append(out.Faults, f.Name)
+		if f.Lasting {
+			duration = warmUp + bound + 2*time.Second
+		}
+	}
+	if len(faults) > 1 {
+		duration += betweenTwo
+		if slices.ContainsFunc(faults, func(f Fault) bool { return f.Lasting }) {
+			duration += faultTime // the other fault may delay the bound
+		}
+	}
+	x := newRun(c, seed)
+	x.load = workload(seed, duration)
+	from := uint64(len(c.Deployment.Log.All()))
+	results, err := x.drive(faults)
+	out.Requests = len(results)
+	for _, r := range results {
+		if r.Outcome == record.Answered {
+			out.Answered++
+		}
+	}
+	x.judgeUnanswered(results)
+	records := append(c.Deployment.Log.After(from), x.callers.All()...)
+	x.relax()
+	out.Violations = append(x.extra, checker.Check(records, x.cfg)...)
+	out.Err = err
+	if out.Failed() {
+		out.records = records
+	}
+	return out
+}
+
+// drive sends the load, injects and repairs the faults and waits for quiet.
+func (x *run) drive(faults []Fault) ([]load.Result, error) {
+	watch := load.NewWatch(x.callers)
+	cfg := load.Config{Timeout: callerTimeout, Log: x.callers, Watch: watch}
+	var admins []load.Host
+	for _, h := range x.Hosts {
+		cfg.Hosts = append(cfg.Hosts, load.Host{ID: h.ID, Addr: h.Caller})
+		admins = append(admins, load.Host{ID: h.ID, Addr: h.Admin})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var watching sync.WaitGroup
+	watching.Go(func() { watch.Run(ctx, admins, 100*time.Millisecond) })
+	defer watching.Wait()
+	defer cancel()
+
+	var results []load.Result
+	var loading sync.WaitGroup
+	loading.Go(func() { results = load.Run(context.Background(), x.load, cfg) })
+	time.Sleep(warmUp)
+	for i, f := range faults {
+		if i > 0 {
+			time.Sleep(betweenTwo)
+		}
+		f.inject(x)
+	}
+	x.publish(x.rules + "# run " + fmt.Sprint(x.seed) + "\n")
+	time.Sleep(faultTime)
+	err := x.repair(x.repairs)
+	loading.Wait()
+	if e := x.repair(x.lasting); err == nil {
+		err = e
+	}
+	x.rules = x.cluster.rules
+	last := x.publish(x.rules)
+	if err == nil {
+		err = x.quiet(last)
+	}
+	x.cfg.End = time.Now()
+	return results, err
+}
+
+// repair undoes faults. Outages end when the repair is done.
+func (x *run) repair(repairs []func() error) error {
+	var first error
+	for _, r := range repairs {
+		if err := r(); err != nil && first == nil {
+			first = err
+		}
+	}
+	for _, p := range x.proxies() {
+		p.CutFrom(nil)
+	}
+	now := time.Now()
+	for _, o := range x.outages {
+		if o.To.IsZero() {
+			o.To = now
+		}
+		x.cfg.Outages = append(x.cfg.Outages, o)
+	}
+	x.outages = nil
+	return first
+}
+
+// quiet waits until the engines hold nothing, all hosts have the last revision and
+// the fleet has settled.
+func (x *run) quiet(last ident.Revision) error {
+	// Memory beyond the bound is a violation, which the checker finds in the
+	// records; the wait only has to be longer.
+	limit := time.Now().Add(2 * x.cfg.HoldBound)
+	for x.Deployment.Held() > 0 && time.Now().Before(limit) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	published := time.Now()
+	for _, h := range x.Hosts {
+		err := fleet.Await("revision at "+string(h.ID), func() bool {
+			s, err := h.Status()
+			return err == nil && s.Revision >= last
+		})
+		if err != nil {
+			return fmt.Errorf("%w; its log: %s", err, tail(h.Log()))
+		}
+		if late := time.Since(published); late > bound {
+			x.violate(10, string(h.ID), fmt.Sprintf("revision %d in force only after %v", last, late))
+		}
+	}
+	if err := x.WaitReady(); err != nil {
+		return fmt.Errorf("not settled after the repair: %s", tail(err.Error()))
+	}
+	return nil
+}
+
+// tail returns the end of a log.
+func tail(s string) string { return s[max(0, len(s)-4000):] }
+
+func (x *run) violate(invariant int, subject, detail string) {
+	x.extra = append(x.extra, checker.Violation{Invariant: invariant, Time: time.Now(), Subject: subject, Detail: detail})
+}
+
+// judgeUnanswered finds callers that gave up after the time limit.
+func (x *run) judgeUnanswered(results []load.Result) {
+	for _, r := range results {
+		if r.Outcome == record.Abandoned && r.Arrival.CancelAfter == 0 {
+			x.violate(unanswered, fmt.Sprint(r.Arrival.Index), fmt.Sprintf("no answer and no refusal in %v", callerTimeout))
+		}
+	}
+}
+
+// relax moves the bounds of configuration and host list by the length of an
+// outage, in which they could not arrive everywhere.
+func (x *run) relax() {
+	var longest time.Duration
+	for _, o := range x.cfg.Outages {
+		longest = max(longest, o.To.Sub(o.From))
+	}
+	x.cfg.LeaveBound += longest
+	for id, k := range x.cfg.Keys {
+		if !k.Withdrawn.IsZero() {
+			k.Withdrawn = k.Withdrawn.Add(longest)
+			x.cfg.Keys[id] = k
+		}
+	}
+	for i := range x.cfg.Recalls {
+		x.cfg.Recalls[i].Time = x.cfg.Recalls[i].Time.Add(longest)
+	}
+}
+
+// Command returns the command that repeats a run.
+func (o Outcome) Command() string {
+	return fmt.Sprintf("make soak SEED=%d RUNS=1 FAULTS=%s DOMAINS=%d", o.Seed, strings.Join(o.Faults, "+"), o.Domains)
+}
