node: let a leaving host keep the engine memory of its streams

Cause: the view that the node gives to placement listed a leaving peer as not live. With one host in a domain the leaving host still answers for itself, so the e2e test with four hosts in four domains could not show it.

Change: a leaving peer that is not dead is left out of the list. It can own no pool, as before, and reclaim asks it which attempts it still has.

--- /dev/null
+++ b/pkg/node/leaving_test.go
@@ -0,0 +1,45 @@
+package node_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberrystream/mulberrystream/pkg/engine"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/membership"
+	"github.com/mulberrystream/mulberrystream/pkg/node"
+)
+
+// heard lets the node hear a peer.
+func (s *session) heard(peer ident.Process, sequence uint64, flags membership.Flags) {
+	s.step(node.PeerMessage{From: peer.Host, Message: node.Message{Membership: &membership.Message{
+		Heartbeat: &membership.Heartbeat{
+			Incarnation: peer.Incarnation, Sequence: sequence, Domain: "d1", Slot: 1, Addr: "h1:1", Flags: flags,
+		},
+	}}})
+}
+
+var _ = Describe("A peer that leaves", func() {
+	// Guards against a pool owner that cancels the streams of a host which stops
+	// gracefully and still finishes them.
+	It("keeps what its running requests hold at the engines", func() {
+		s := newSession()
+		s.quiet = true
+		peer := ident.Process{Host: "h1", Incarnation: 5}
+		s.heard(peer, 1, membership.FlagReady)
+		held := engine.HeldRequest{Ref: ident.BackendRef{Request: "h1@5#1", Attempt: 1}}
+		report := engine.Report{
+			ID: decode.ID, Sequence: 1, Start: 1, Role: decode.Role, Model: decode.Model, Version: decode.Version,
+			Slots: decode.Slots, Running: 1, Held: []engine.HeldRequest{held},
+		}
+		s.step(node.EngineReported{Report: report})
+		s.heard(peer, 2, membership.FlagLeaving)
+		for i := range uint64(10) {
+			s.advance(200 * time.Millisecond)
+			Expect(effects[node.CancelAt](s)).To(BeEmpty())
+			s.heard(peer, 3+i, membership.FlagLeaving)
+		}
+	})
+})
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -136,6 +136,12 @@
 	self := placement.HostView{Process: n.cfg.Self, Domain: n.cfg.Domain, Live: !n.drain.active}
 	out = append(out, self)
 	for _, h := range v.Hosts {
+		if h.Leaving && h.State != membership.Dead {
+			// It may own no pool, but finishes its requests. What it runs at the
+			// engines is cancelled when it is listed as not live; of a host that is
+			// not listed, placement asks which requests it still has.
+			continue
+		}
 		out = append(out, placement.HostView{Process: h.Process, Domain: h.Domain, Live: usable(h)})
 	}
 	for _, d := range v.Domains {
