fake: take no request while an engine crashes

Cause: a request whose handler ran between the crash and the end of the connections was held in the state of the next life, without end. Ruled out: the router, which had sent three cancels that the closed server could not read.

Change: a crashed engine closes the connection of such a request.

Conclusion: a fault of the stand-in only.

--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -46,6 +46,7 @@
 	start     uint64
 	fence     uint64
 	loading   bool
+	down      bool // crashed
 	held      map[ident.BackendRef]*held
 	queue     []*held // prefills that wait
 	computing bool    // a prefill runs
@@ -232,6 +233,12 @@
 func (e *Engine) admitLocked(w http.ResponseWriter, role engine.Role, m ident.Model, v ident.Version, ref ident.BackendRef) bool {
 	status, code := 0, ""
 	switch {
+	case e.down:
+		// The request came in while the engine crashed and gets no answer.
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_ = c.Close()
+		}
+		return false
 	case e.info.Leaving:
 		status, code = http.StatusServiceUnavailable, engine.CodeLeaving
 	case e.info.Role != role, m != e.info.Model, v != e.info.Version:
--- a/internal/fake/fake_test.go
+++ b/internal/fake/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -257,6 +258,22 @@
 			Expect(code(decode(ref, 0, 5, collect))).To(Equal(engine.CodeTimeout))
 		})
 
+		// Guards against a request that comes in while the engine crashes and holds
+		// memory without end.
+		It("takes no request while it crashes", func() {
+			for range 20 {
+				var calls sync.WaitGroup
+				for range 8 {
+					ref := newRef()
+					calls.Go(func() { _, _ = prefill(ref, "p") })
+				}
+				pre.Crash()
+				calls.Wait()
+				Expect(pre.Held()).To(BeZero())
+				Expect(pre.Restart()).To(Succeed())
+			}
+		})
+
 		It("loses everything in a crash and starts again at its address", func() {
 			ref := newRef()
 			_, _, err := load(ref, "p")
--- a/internal/fake/faults.go
+++ b/internal/fake/faults.go
@@ -68,6 +68,7 @@
 	e.endLifeLocked()
 	e.resetLocked()
 	e.endLifeLocked()
+	e.down = true
 	e.note(record.Record{Kind: record.Crash})
 	e.mu.Unlock()
 	e.srv.close()
@@ -81,6 +82,7 @@
 	e.info = e.cfg.Info
 	e.info.Addr = addr
 	e.resetLocked()
+	e.down = false
 	e.note(record.Record{Kind: record.Restart})
 	e.mu.Unlock()
 	return e.srv.listen()
