checker: judge replaced hosts and answers that must break

A host that stops gracefully must still break the answers of a recalled batch or a withdrawn key.

Change: revision 0 is no revert between the Restart record of a host and its first configuration; an older revision than that of the predecessor still is, and so is 0 afterwards. Answers whose key was withdrawn or whose batch was recalled before their end are no violation of invariant 9.

Conclusion: the checks of reverts and stops are as strict as before for all other records.

--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -202,6 +202,11 @@
 				work(2, record.Arrival, "decode", "d", "x"), host(3, record.Stopping, "h", 0), broken(4, "x")},
 			[]rec{with(server(0, record.FaultSet, "d"), slow), sent(2, "x"),
 				work(2, record.Arrival, "decode", "d", "x"), host(3, record.Stopping, "h", 0), broken(4, "x")}),
+		Entry("a stream cut by a graceful stop before the recall of its batch", 9,
+			[]rec{sent(0, "x"), with(work(0.5, record.Arrival, "decode", "p", "x"), func(r *rec) { r.Version = "v0" }),
+				host(1, record.Stopping, "h", 0), broken(2, "x")},
+			[]rec{sent(0, "x"), with(work(0.5, record.Arrival, "decode", "p", "x"), func(r *rec) { r.Version = "v0" }),
+				host(1, record.Stopping, "h", 0), broken(10.5, "x")}),
 		Entry("a configuration that comes late", 10,
 			[]rec{published(1, 5), host(8, record.InForce, "h", 4)},
 			[]rec{published(1, 5), host(6, record.InForce, "h", 4), host(8, record.InForce, "h", 5)}),
@@ -211,6 +216,12 @@
 		Entry("a configuration that goes back", 10,
 			[]rec{host(1, record.InForce, "h", 5), host(2, record.InForce, "h", 4)},
 			[]rec{host(1, record.InForce, "h", 5), host(2, record.InForce, "h", 5)}),
+		Entry("a replaced host that goes back", 10,
+			[]rec{host(1, record.InForce, "h", 5), host(2, record.Restart, "h", 0), host(3, record.InForce, "h", 4)},
+			[]rec{host(1, record.InForce, "h", 5), host(2, record.Restart, "h", 0), host(3, record.InForce, "h", 0), host(4, record.InForce, "h", 5)}),
+		Entry("a replaced host that loses its configuration", 10,
+			[]rec{host(1, record.InForce, "h", 5), host(2, record.Restart, "h", 0), host(3, record.InForce, "h", 5), host(4, record.InForce, "h", 0)},
+			[]rec{host(1, record.InForce, "h", 5), host(2, record.Restart, "h", 0), host(3, record.InForce, "h", 0)}),
 	)
 
 	It("lets a stop that reached its limit cut streams", func() {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -256,14 +256,9 @@
 		longest = max(longest, o.To.Sub(o.From))
 	}
 	x.cfg.LeaveBound += longest
-	for id, k := range x.cfg.Keys {
-		if !k.Withdrawn.IsZero() {
-			k.Withdrawn = k.Withdrawn.Add(longest)
-			x.cfg.Keys[id] = k
-		}
-	}
-	for i := range x.cfg.Recalls {
-		x.cfg.Recalls[i].Time = x.cfg.Recalls[i].Time.Add(longest)
+	x.cfg.WithdrawBound += longest
+	if len(x.cfg.Recalls) > 0 {
+		x.cfg.ConfigBound += longest
 	}
 }
 
