Repeat an unanswered Book once, fix a slot leaked by a handover

Cause: one lost message made a client turn to a stand-in, which books without reports next to the owner. Change: a client repeats its question at half of the owner timeout; a handed over booking of a queued request is not entered; a second booking of an attempt frees the first. A spec for the leak fails without the fix.

--- a/pkg/placement/client.go
+++ b/pkg/placement/client.go
@@ -16,6 +16,7 @@
 	round    uint32
 	to       ident.HostID
 	waiting  bool // the host said that the request is queued
+	repeated bool // the question was sent again without an answer
 	heard    time.Time
 	sent     time.Time
 	silent   []ident.HostID          // of this pool, did not answer
@@ -147,11 +148,12 @@
 	a.to = to
 	a.asked[to] = a.round
 	a.waiting = false
+	a.repeated = false
+	a.sent = now
 	p.sendBook(now, a)
 }
 
 func (p *Placer) sendBook(now time.Time, a *pending) {
-	a.sent = now
 	a.heard = now
 	r := a.req
 	_, other := p.spillPool(r, a.tried, false)
@@ -409,6 +411,9 @@
 	for _, ref := range due {
 		a := p.pending[ref]
 		switch {
+		case !a.waiting && now.Sub(a.sent) < p.cfg.OwnerTimeout:
+			a.repeated = true
+			p.sendBook(now, a)
 		case !a.waiting:
 			a.silent = append(a.silent, a.to)
 			p.askNext(now, a)
@@ -418,6 +423,8 @@
 		default:
 			// Repeats the question, in case the owner has lost its queue.
 			a.waiting = false
+			a.repeated = false
+			a.sent = now
 			p.sendBook(now, a)
 		}
 	}
@@ -426,7 +433,8 @@
 // overdue tells whether a host should have been heard of.
 func (p *Placer) overdue(now time.Time, a *pending) bool {
 	if !a.waiting {
-		return now.Sub(a.sent) >= p.cfg.OwnerTimeout
+		silent := now.Sub(a.sent)
+		return silent >= p.cfg.OwnerTimeout || !a.repeated && silent >= p.cfg.OwnerTimeout/2
 	}
 	return now.Sub(a.heard) >= p.cfg.ClaimInterval || p.unanswered(now, a)
 }
--- a/pkg/placement/failure_test.go
+++ b/pkg/placement/failure_test.go
@@ -252,6 +252,26 @@
 		Expect(c.free(owner)).To(Equal(20))
 	})
 
+	It("counts one slot when a stand-in hands over a booking of a queued request", func() {
+		fill(20)
+		r.Wait = true
+		c.book(client, r)
+		c.run(20 * time.Millisecond)
+		c.take(owner.Host, c.at(owner).Receive(c.now, next.Host, placement.Message{Handover: &placement.Handover{
+			Pool:     placement.Pool{Model: model, Domain: teku},
+			Bookings: []placement.Held{{Ref: r.Ref, Round: 1, Prefill: c.engines[0].ID, Decode: c.engines[1].ID}},
+		}}))
+		for n := range uint64(20) {
+			c.release(client, request(client, 1000+n).Ref)
+		}
+		c.run(50 * time.Millisecond)
+		Expect(c.booked[r.Ref]).To(HaveLen(1))
+		Expect(c.free(owner)).To(Equal(19))
+		c.release(client, r.Ref)
+		c.run(50 * time.Millisecond)
+		Expect(c.free(owner)).To(Equal(20))
+	})
+
 	It("resumes on any engine with the delivered output in the prompt", func() {
 		r.Offset = 2000
 		r.Exclude = []ident.BackendID{"gone"}
--- a/pkg/placement/handover.go
+++ b/pkg/placement/handover.go
@@ -68,9 +68,10 @@
 }
 
 // takeBooking enters a booking of another owner. One that a report has shown
-// already gets its details.
+// already gets its details. A request that is queued here is still undecided for
+// its host and gets a booking of its own.
 func (p *Placer) takeBooking(now time.Time, pl *pool, h Held) {
-	if p.released.covers(h.Ref, h.Round) {
+	if p.released.covers(h.Ref, h.Round) || pl.queue.Has(h.Ref) {
 		return
 	}
 	old, known := pl.bookings[h.Ref]
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -78,8 +78,10 @@
 	return pl.infoCache
 }
 
-// insert enters a booking into the books of both engines.
+// insert enters a booking into the books of both engines, in place of an earlier
+// one of the same attempt.
 func (pl *pool) insert(now time.Time, b *booking) {
+	pl.remove(now, b.ref)
 	pl.bookings[b.ref] = b
 	if b.prefill != nil && b.prefilled.IsZero() {
 		b.prefill.addJob(now, b)
