--- a/pkg/placement/failure_test.go
+++ b/pkg/placement/failure_test.go
@@ -253,7 +253,8 @@
 	})
 
 	It("counts one slot when a stand-in hands over a booking of a queued request", func() {
-		fill(20)
+		c = newCluster(3, enginesOf(teku, 2, "v1"), teku)
+		refs := fill(40)
 		r.Wait = true
 		c.book(client, r)
 		c.run(20 * time.Millisecond)
@@ -261,15 +262,18 @@
 			Pool:     placement.Pool{Model: model, Domain: teku},
 			Bookings: []placement.Held{{Ref: r.Ref, Round: 1, Prefill: c.engines[0].ID, Decode: c.engines[1].ID}},
 		}}))
-		for n := range uint64(20) {
-			c.release(client, request(client, 1000+n).Ref)
+		for _, ref := range refs { // frees the other engine only
+			if c.booked[ref][0].Decode.ID == c.engines[2].ID {
+				c.release(client, ref)
+			}
 		}
 		c.run(50 * time.Millisecond)
 		Expect(c.booked[r.Ref]).To(HaveLen(1))
-		Expect(c.free(owner)).To(Equal(19))
-		c.release(client, r.Ref)
+		for _, ref := range append(refs, r.Ref) {
+			c.release(client, ref)
+		}
 		c.run(50 * time.Millisecond)
-		Expect(c.free(owner)).To(Equal(20))
+		Expect(c.free(owner)).To(Equal(40))
 	})
 
 	It("resumes on any engine with the delivered output in the prompt", func() {
