--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -45,17 +45,23 @@
 // Ask sends a completion request and reads the answer. onPart is called after
 // each streamed part.
 func Ask(ctx context.Context, addr, key string, r Request, onPart func(int)) Answer {
+	return AskWith(ctx, http.DefaultClient, "http://"+addr, key, r, onPart)
+}
+
+// AskWith is Ask with a client and the first part of the URL, such as
+// "https://127.0.0.1:8080".
+func AskWith(ctx context.Context, client *http.Client, base, key string, r Request, onPart func(int)) Answer {
 	body, err := json.Marshal(r)
 	if err != nil {
 		return Answer{Err: err}
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/completions", strings.NewReader(string(body)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/completions", strings.NewReader(string(body)))
 	if err != nil {
 		return Answer{Err: err}
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Authorization", "Bearer "+key)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return Answer{Err: err}
 	}
