--- a/pkg/driver/backends.go
+++ b/pkg/driver/backends.go
@@ -192,16 +192,29 @@
 type poll struct {
 	busy  bool
 	after uint64
+	asked time.Time
+}
+
+// prunePolls forgets engines that are not polled any more.
+func (d *Driver) prunePolls(now time.Time) {
+	for id, p := range d.polling {
+		if !p.busy && now.Sub(p.asked) > clientIdle {
+			delete(d.polling, id)
+		}
+	}
 }
 
 // pollEngine reads report and cache events, one poll per engine at a time.
 func (d *Driver) pollEngine(info engine.Info) {
 	d.mu.Lock()
 	p := d.polling[info.ID]
+	now := time.Now()
 	if p == nil {
+		d.prunePolls(now)
 		p = &poll{}
 		d.polling[info.ID] = p
 	}
+	p.asked = now
 	busy := p.busy
 	p.busy = true
 	d.mu.Unlock()
--- /dev/null
+++ b/pkg/driver/clients_test.go
@@ -0,0 +1,31 @@
+package driver
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+type closer struct {
+	addr   string
+	closed *[]string
+}
+
+func (c closer) Close() { *c.closed = append(*c.closed, c.addr) }
+
+var _ = Describe("Clients of backend servers", func() {
+	It("do not pile up as backend servers are replaced", func() {
+		now := time.Unix(0, 0)
+		var closed []string
+		c := newClients(func(addr string) closer { return closer{addr: addr, closed: &closed} }, func() time.Time { return now })
+		c.get("old")
+		c.get("kept")
+		now = now.Add(clientIdle - time.Second)
+		c.get("kept")
+		now = now.Add(2 * time.Second)
+		c.get("new")
+		Expect(closed).To(Equal([]string{"old"}))
+		Expect(c.byAddr).To(HaveLen(2))
+	})
+})
--- a/pkg/driver/pool.go
+++ b/pkg/driver/pool.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"strconv"
-	"sync"
+	"time"
 
 	"github.com/mulberrystream/mulberrystream/pkg/engine"
 	"github.com/mulberrystream/mulberrystream/pkg/engine/enginehttp"
@@ -13,50 +13,30 @@
 
 // HTTPBackends reaches backend servers over HTTP, with one client per address.
 type HTTPBackends struct {
-	opt enginehttp.Options
-
-	mu       sync.Mutex
-	engines  map[string]*enginehttp.Client
-	services map[string]*enginehttp.ServiceClient
+	engines  *clients[*enginehttp.Client]
+	services *clients[*enginehttp.ServiceClient]
 }
 
 // NewHTTPBackends returns a pool without clients.
 func NewHTTPBackends(opt enginehttp.Options) *HTTPBackends {
 	return &HTTPBackends{
-		opt:      opt,
-		engines:  map[string]*enginehttp.Client{},
-		services: map[string]*enginehttp.ServiceClient{},
+		engines: newClients(func(addr string) *enginehttp.Client {
+			return enginehttp.New(addr, opt)
+		}, time.Now),
+		services: newClients(func(addr string) *enginehttp.ServiceClient {
+			return enginehttp.NewService(addr, sendonce.Options{})
+		}, time.Now),
 	}
 }
 
 // Engine returns the engine at addr.
-func (b *HTTPBackends) Engine(addr string) engine.Engine {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	c := b.engines[addr]
-	if c == nil {
-		c = enginehttp.New(addr, b.opt)
-		b.engines[addr] = c
-	}
-	return c
-}
-
-func (b *HTTPBackends) service(addr string) *enginehttp.ServiceClient {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	c := b.services[addr]
-	if c == nil {
-		c = enginehttp.NewService(addr, sendonce.Options{})
-		b.services[addr] = c
-	}
-	return c
-}
+func (b *HTTPBackends) Engine(addr string) engine.Engine { return b.engines.get(addr) }
 
 // Forward sends a request to a plain service, once. The service learns request
 // id and attempt, never the key.
 func (b *HTTPBackends) Forward(ctx context.Context, addr string, ref ident.BackendRef, r *ServiceRequest) (*Response, error) {
 	header := append(refHeader(ref), r.Header...)
-	status, h, body, err := b.service(addr).Forward(ctx, r.Method, r.URI, header, r.Body)
+	status, h, body, err := b.services.get(addr).Forward(ctx, r.Method, r.URI, header, r.Body)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -20,6 +20,10 @@
 // generation and one host list, which stays well below it at the target size.
 const maxMessageBytes = 8 << 20
 
+// maxClients bounds the addresses remembered. A host talks to its domain and to
+// the delegates of the others.
+const maxClients = 1024
+
 // Liveness of HTTP/2 connections: a connection that has been silent for
 // pingAfter is probed and dropped after pingTimeout, so that a connection that
 // lost its state on the way is replaced by a new one.
@@ -82,6 +86,10 @@
 	if cl := c.clients[addr]; cl != nil {
 		return cl
 	}
+	if len(c.clients) >= maxClients {
+		// Hosts are replaced all the time; connections are the transport's.
+		clear(c.clients)
+	}
 	cl := connect.NewClient[node.Batch, Ack](
 		c.http,
 		c.scheme+"://"+addr+procedure,
