Bound the memory of the fair queue and fix the order of its purge

Cause: idle organisations were forgotten only without debt, and virtual time does not advance while each organisation sends a single request, so that none was forgotten (5000 of 5000 in a new spec). The purge subtracted weights in the order of map iteration, whose rounding could differ between runs. Change: above 1024 idle organisations the half with the least debt is forgotten, in a fixed order.

--- a/pkg/fairqueue/queue.go
+++ b/pkg/fairqueue/queue.go
@@ -75,6 +75,10 @@
 // Len returns the number of queued items.
 func (q *Queue[K, T]) Len() int { return len(q.items) }
 
+// Organisations returns how many organisations are remembered, with or without
+// queued items.
+func (q *Queue[K, T]) Organisations() int { return len(q.flows) }
+
 // Has tells whether an item is queued.
 func (q *Queue[K, T]) Has(key K) bool {
 	_, ok := q.items[key]
@@ -272,20 +276,28 @@
 	}
 }
 
-// idleFlows is how many idle organisations are remembered before those that have
-// saved up all they may are forgotten. A forgotten one starts without savings.
+// idleFlows bounds the idle organisations that are remembered. Above it the half
+// with the least debt is forgotten; a forgotten one starts with neither debt nor
+// savings.
 const idleFlows = 1024
 
+// purge goes through the organisations in a fixed order, because the sum of the
+// weights depends on the order by its rounding.
 func (q *Queue[K, T]) purge() {
 	if len(q.flows)-len(q.active) <= idleFlows {
 		return
 	}
-	for o, f := range q.flows {
-		if len(f.items) == 0 && f.start <= q.earliest() {
-			delete(q.flows, o)
-			q.weights -= f.weight
+	var idle []*flow[K, T]
+	for _, f := range q.flows {
+		if len(f.items) == 0 {
+			idle = append(idle, f)
 		}
 	}
+	slices.SortFunc(idle, compareFlows[K, T])
+	for _, f := range idle[:len(idle)/2] {
+		delete(q.flows, f.organisation)
+		q.weights -= f.weight
+	}
 }
 
 func compareFlows[K comparable, T any](a, b *flow[K, T]) int {
--- a/pkg/fairqueue/queue_test.go
+++ b/pkg/fairqueue/queue_test.go
@@ -139,6 +139,15 @@
 		Expect(last.Key).To(Equal(499))
 	})
 
+	It("forgets idle organisations, so that its memory stays bounded", func() {
+		q := fairqueue.New[int, string](0)
+		for i := range 5000 {
+			push(q, ident.Organisation(fmt.Sprint("o", i)), 1, 10, i, 1)
+			take(q, 1)
+		}
+		Expect(q.Organisations()).To(BeNumerically("<=", 1100))
+	})
+
 	It("keeps its index consistent over random operations", func() {
 		rng := rand.New(rand.NewPCG(3, 4))
 		q := fairqueue.New[int, string](0)
