Move a stalled transfer to another decode engine while its KV cache lasts

Cause: a stalled transfer ended the attempt, so the prompt was prefilled again although the prefill engine still held its KV cache. Change: the first transfer gets half of the cache's lifetime; after a stall the node asks placement.MoveDecode for another decode engine under the same attempt if a quarter of the lifetime is left, and prefills again otherwise.

--- a/internal/e2e/corrupt_test.go
+++ b/internal/e2e/corrupt_test.go
@@ -48,3 +48,26 @@
 		AddReportEntry("corrupted transfers", fmt.Sprintf("%d corrupted transfers, all caught; %d of %d answers complete", imports, complete, requests))
 	})
 })
+
+var _ = Describe("Transfers that stall", func() {
+	It("cost no answer", func() {
+		f := startFleet(4, rulesText(ampleRate...))
+		for i, e := range f.Deployment.Engines {
+			if e.Info().Role == engine.Decode && i%2 == 0 {
+				e.SetFaults(fake.Faults{StallTransfer: true})
+			}
+		}
+		const requests = 12
+		for i := range requests {
+			prompt := caller.Words(fmt.Sprint("stall-", i), 50)
+			r := caller.Request{Model: "inspect-lm", Prompt: prompt, MaxTokens: 5, Stream: true}
+			a := caller.Ask(context.Background(), f.Hosts[i%4].Caller, keyEverest, r, nil)
+			Expect(a.Complete).To(BeTrue(), "request %d: %s", i, a.Code)
+			Expect(a.Text).To(Equal(content.Answer(prompt, 5)))
+		}
+		prefills := f.Deployment.Log.Find(func(r record.Record) bool {
+			return r.Kind == record.Start && r.Step == "prefill"
+		})
+		AddReportEntry("prefills", fmt.Sprintf("%d prefills for %d requests", len(prefills), requests))
+	})
+})
--- a/pkg/driver/backends.go
+++ b/pkg/driver/backends.go
@@ -38,6 +38,7 @@
 	if errors.As(err, &e) {
 		out.NotRun = e.NotRun
 		out.Alive = e.Answered()
+		out.Stalled = e.Code == engine.CodeTimeout
 	}
 	return out
 }
--- a/pkg/node/completion.go
+++ b/pkg/node/completion.go
@@ -135,7 +135,8 @@
 
 func (n *Node) bookedEngines(b placement.Booking) {
 	r := n.requests[b.Ref.Request]
-	if r == nil || r.attempt != b.Ref.Attempt || r.phase != booking {
+	wanted := r != nil && r.attempt == b.Ref.Attempt && (r.phase == booking || r.phase == moving)
+	if !wanted {
 		n.applyPlacement(n.place.Release(n.now, b.Ref, 0))
 		return
 	}
@@ -143,9 +144,14 @@
 	r.booked = true
 	if n.bookingRecalled(r) {
 		// The owner acted on an older generation than this host.
+		n.cancelBooking(r)
 		n.nextAttempt(r)
 		return
 	}
+	if r.phase == moving {
+		n.startImport(r)
+		return
+	}
 	r.phase = prefilling
 	n.emit(Prefill{
 		Ref:      r.ref(),
@@ -182,6 +188,10 @@
 // the pool can know of a recall before this host does. Otherwise the work goes
 // on: if the engine has dropped it meanwhile, its call fails and is resumed.
 func (n *Node) bookingLost(r *request, reason placement.Reason) {
+	if r.phase == moving {
+		n.attemptFailed(r, errNoMove, r.booking.Decode)
+		return
+	}
 	if reason == placement.ReasonRecalled {
 		n.recall(r)
 	}
@@ -205,24 +215,9 @@
 	}
 	r.started = true
 	n.applyPlacement(n.place.PrefillDone(n.now, r.ref()))
-	r.phase = importing
-	n.emit(Import{
-		Ref:      r.ref(),
-		Decode:   r.booking.Decode,
-		Source:   r.booking.Prefill,
-		Adapter:  r.adapter,
-		Checksum: e.Result.Checksum,
-		Bytes:    e.Result.Bytes,
-		Deadline: n.now.Add(n.importTimeout(e.Result)),
-	})
-}
-
-// importTimeout ends the transfer when the prefill engine drops the KV cache.
-func (n *Node) importTimeout(p engine.PrefillResult) time.Duration {
-	if p.Lifetime > 0 && p.Lifetime < n.cfg.ImportTimeout {
-		return p.Lifetime
-	}
-	return n.cfg.ImportTimeout
+	r.kv = e.Result
+	r.kvUntil = n.now.Add(n.kvLifetime(e.Result.Lifetime))
+	n.startImport(r)
 }
 
 func (n *Node) importEnded(e ImportEnded) {
@@ -231,7 +226,9 @@
 		return
 	}
 	if e.Err != nil {
-		n.attemptFailed(r, e.Err, r.booking.Decode)
+		if !n.moveTransfer(r, e.Err) {
+			n.attemptFailed(r, e.Err, r.booking.Decode)
+		}
 		return
 	}
 	r.phase = decoding
@@ -328,6 +325,7 @@
 	n.applyPlacement(n.place.Release(n.now, r.ref(), r.delivered))
 	r.attempt++
 	r.recalling = false
+	r.moved = false
 	r.phase = booking
 	if len(n.versions(r.model)) == 0 {
 		n.fail(r, CodeRecalled, 0, "all versions of the model are recalled")
--- a/pkg/node/event.go
+++ b/pkg/node/event.go
@@ -85,10 +85,11 @@
 
 // CallError says how a call to a backend server failed.
 type CallError struct {
-	Step   string // prefill, import, decode or call
-	Reason string
-	NotRun bool // the backend server surely did not start
-	Alive  bool // the backend server answered, such as to say that it is full
+	Step    string // prefill, import, decode or call
+	Reason  string
+	NotRun  bool // the backend server surely did not start
+	Stalled bool // it did not answer in time
+	Alive   bool // the backend server answered, such as to say that it is full
 }
 
 // Error returns step and reason.
--- a/pkg/node/golden_test.go
+++ b/pkg/node/golden_test.go
@@ -166,3 +166,35 @@
 		Expect(effects[node.Prefill](s)).To(HaveLen(1))
 	})
 })
+
+var _ = Describe("A stalled transfer", func() {
+	stalled := &node.CallError{Step: "import", Reason: "timeout", Stalled: true}
+
+	It("moves to another decode engine while the KV cache lasts, without another prefill", func() {
+		s := newSession()
+		s.arrive()
+		s.prefilled()
+		first := effects[node.Import](s)[0]
+		s.now = s.now.Add(400 * time.Millisecond)
+		s.step(node.ImportEnded{Ref: first.Ref, Err: stalled})
+		Expect(effects[node.Prefill](s)).To(BeEmpty())
+		again := effects[node.Import](s)
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].Decode.ID).NotTo(Equal(first.Decode.ID))
+		Expect(again[0].Source).To(Equal(first.Source))
+		s.imported()
+		Expect(effects[node.Decode](s)[0].Engine).To(Equal(again[0].Decode))
+		s.golden("stalled_transfer")
+	})
+
+	It("is prefilled again once the KV cache is gone", func() {
+		s := newSession()
+		s.arrive()
+		s.prefilled()
+		ref := s.ref()
+		s.now = s.now.Add(790 * time.Millisecond)
+		s.step(node.ImportEnded{Ref: ref, Err: stalled})
+		Expect(effects[node.Import](s)).To(BeEmpty())
+		Expect(effects[node.Prefill](s)).To(HaveLen(1))
+	})
+})
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -35,6 +35,7 @@
 	rules    *ruleset.Rules // nil until the first generation is in force
 	revision ident.Revision
 	requests map[ident.RequestID]*request
+	moving   []ident.RequestID // requests in the phase moving
 
 	ready      bool
 	superseded bool
@@ -158,6 +159,7 @@
 	n.applyLimits(n.limits.Tick(n.now))
 	n.applyPlacement(n.place.Tick(n.now))
 	n.applyOnce(n.once.Tick(n.now))
+	n.expireMoves()
 	n.refreshViewIfDue()
 	n.pollIfDue()
 	n.ordersIfDue()
--- a/pkg/node/request.go
+++ b/pkg/node/request.go
@@ -21,6 +21,7 @@
 	booking                 // waits for engines
 	prefilling              // prefill runs
 	importing               // KV cache is being transferred
+	moving                  // another decode engine is sought for the KV cache
 	decoding                // output stream runs
 	calling                 // plain service runs
 )
@@ -50,8 +51,11 @@
 	prefix       []uint64
 	booked       bool
 	booking      placement.Booking
-	delivered    int  // output tokens that the caller has
-	recalling    bool // the stream is being stopped because of a recall
+	kv           engine.PrefillResult
+	kvUntil      time.Time // end of the KV cache's lifetime at the prefill engine
+	moved        bool      // this attempt has changed its decode engine
+	delivered    int       // output tokens that the caller has
+	recalling    bool      // the stream is being stopped because of a recall
 
 	call *serviceCall // set for plain services
 }
