--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -48,6 +48,7 @@
 // Recall says that a batch was recalled. Empty fields match all.
 type Recall struct {
 	Time    time.Time
+	Ended   time.Time // when the recall was published no more; zero if it still is
 	Model   ident.Model
 	Version ident.Version
 	Group   string
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -292,6 +292,12 @@
 	x.publish(x.rules)
 	r.Time = time.Now()
 	x.cfg.Recalls = append(x.cfg.Recalls, r)
+	x.atEnd(func() error {
+		for i := range x.cfg.Recalls {
+			x.cfg.Recalls[i].Ended = time.Now()
+		}
+		return nil
+	})
 }
 
 func leaveBackend(x *run) {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -59,6 +59,7 @@
 	Violations []checker.Violation
 	Requests   int
 	Answered   int
+	Took       time.Duration
 	Err        error // of the harness, or a fleet that did not recover
 	records    []record.Record
 }
@@ -120,10 +121,12 @@
 			duration += faultTime // the other fault may delay the bound
 		}
 	}
+	begin := time.Now()
 	x := newRun(c, seed)
 	x.load = workload(seed, duration)
 	from := uint64(len(c.Deployment.Log.All()))
 	results, err := x.drive(faults)
+	out.Took = time.Since(begin)
 	out.Requests = len(results)
 	for _, r := range results {
 		if r.Outcome == record.Answered {
