--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -220,6 +220,7 @@
 		return inside
 	}
 	x.platform.CutFrom(inside)
+	x.onRepair(func() error { return x.provePartition(apart) })
 	for _, h := range x.Hosts {
 		x.peers[h.ID].CutFrom(from(h.Domain))
 	}
@@ -229,6 +230,20 @@
 	}
 }
 
+// provePartition makes sure that the partition was one: no host inside has the
+// configuration that was published meanwhile.
+func (x *run) provePartition(apart ident.FailureDomain) error {
+	for _, h := range x.Hosts {
+		if h.Domain != apart {
+			continue
+		}
+		if s, err := h.Status(); err == nil && s.Revision >= x.midRun {
+			return fmt.Errorf("soak: %s got revision %d through the partition", h.ID, s.Revision)
+		}
+	}
+	return nil
+}
+
 // cutOneWay holds the messages from one host to another; those back arrive.
 func cutOneWay(x *run) {
 	from, to := x.pickHost(), x.pickHost()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -43,6 +43,7 @@
 	callers *record.Log
 	load    load.Workload
 	rules   string // that the faults of the run have published
+	midRun  ident.Revision
 
 	taken   map[string]bool // targets of faults so far
 	outages []checker.Outage
@@ -169,7 +170,7 @@
 		}
 		f.inject(x)
 	}
-	x.publish(x.rules + "# run " + fmt.Sprint(x.seed) + "\n")
+	x.midRun = x.publish(x.rules + "# run " + fmt.Sprint(x.seed) + "\n")
 	time.Sleep(faultTime)
 	err := x.repair(x.repairs)
 	loading.Wait()
