soak: ask the kernel for one socket instead of reading all

Cause: the search through /proc/net/tcp for each new connection during a cut fell behind; the injection of a partition took up to 30 s, and proxies held connections that no fault concerned.

Change: the inode of a connection comes from the kernel's socket diagnostics, by both ends.

Conclusion: a fault of the harness; the router is not the cause.

--- a/internal/soak/source.go
+++ b/internal/soak/source.go
@@ -1,14 +1,15 @@
 package soak
 
 import (
-	"bufio"
+	"encoding/binary"
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"strconv"
 	"strings"
 	"sync"
-	"time"
+	"syscall"
 
 	"github.com/mulberrystream/mulberrystream/internal/fleet"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
@@ -17,21 +18,16 @@
 // sources finds the entry host behind a loopback connection, which proxies need
 // for a partition: all processes have the same IP address.
 type sources struct {
-	mu      sync.Mutex
-	hosts   []*fleet.Host
-	sockets map[string]ident.HostID // by local and remote port
-	read    time.Time
+	mu     sync.Mutex
+	hosts  []*fleet.Host
+	owners map[uint32]ident.HostID // by inode of a socket
 }
 
-// socketsAge is how long the sockets of the hosts are kept. A cut asks for many
-// connections at once, and one look at all sockets of the machine is slow.
-const socketsAge = time.Second
-
 func (s *sources) set(hosts []*fleet.Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hosts = append([]*fleet.Host(nil), hosts...)
-	s.sockets = nil
+	s.owners = nil
 }
 
 // find returns the id of the entry host whose socket is the client end of a
@@ -42,57 +38,86 @@
 	if !ok || !ok2 {
 		return ""
 	}
-	key := fmt.Sprintf("0100007F:%04X 0100007F:%04X", from.Port, to.Port)
+	inode, err := socketInode(from, to)
+	if err != nil || inode == 0 {
+		return "" // the client has closed the connection
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if id, ok := s.sockets[key]; ok && time.Since(s.read) < socketsAge {
+	if id, ok := s.owners[inode]; ok {
 		return string(id)
 	}
-	s.sockets = hostSockets(s.hosts)
-	s.read = time.Now()
-	return string(s.sockets[key])
+	s.owners = map[uint32]ident.HostID{}
+	for _, h := range s.hosts {
+		for _, n := range inodes(h.PID()) {
+			s.owners[n] = h.ID
+		}
+	}
+	return string(s.owners[inode])
 }
 
-// hostSockets lists the connections of the hosts.
-func hostSockets(hosts []*fleet.Host) map[string]ident.HostID {
-	owners := map[string]ident.HostID{}
-	for _, h := range hosts {
-		for _, inode := range inodes(h.PID()) {
-			owners[inode] = h.ID
-		}
+// Values of the kernel's interface linux/inet_diag.h.
+const (
+	sockDiagFamily = 4  // NETLINK_SOCK_DIAG
+	sockDiagByName = 20 // SOCK_DIAG_BY_FAMILY
+	requestSize    = syscall.NLMSG_HDRLEN + 56
+	inodeOffset    = syscall.NLMSG_HDRLEN + 68
+)
+
+var errDiag = errors.New("soak: no answer about a socket")
+
+// socketInode asks the kernel for the inode of one connected socket. A search of
+// /proc/net/tcp reads all sockets of the machine for each connection, and a proxy
+// then falls behind the connections of a partition.
+func socketInode(local, remote *net.TCPAddr) (uint32, error) {
+	fd, err := syscall.Socket(syscall.AF_NETLINK, syscall.SOCK_RAW|syscall.SOCK_CLOEXEC, sockDiagFamily)
+	if err != nil {
+		return 0, fmt.Errorf("soak: netlink: %w", err)
 	}
-	out := map[string]ident.HostID{}
-	f, err := os.Open("/proc/net/tcp")
+	defer func() { _ = syscall.Close(fd) }()
+	q := make([]byte, requestSize)
+	binary.NativeEndian.PutUint32(q[0:], requestSize)
+	binary.NativeEndian.PutUint16(q[4:], sockDiagByName)
+	binary.NativeEndian.PutUint16(q[6:], syscall.NLM_F_REQUEST)
+	q[16], q[17] = syscall.AF_INET, syscall.IPPROTO_TCP
+	binary.NativeEndian.PutUint32(q[20:], ^uint32(0)) // all states
+	binary.BigEndian.PutUint16(q[24:], uint16(local.Port))
+	binary.BigEndian.PutUint16(q[26:], uint16(remote.Port))
+	copy(q[28:], local.IP.To4())
+	copy(q[44:], remote.IP.To4())
+	for i := 64; i < 72; i++ {
+		q[i] = 0xff // no cookie
+	}
+	if err := syscall.Sendto(fd, q, 0, &syscall.SockaddrNetlink{Family: syscall.AF_NETLINK}); err != nil {
+		return 0, fmt.Errorf("soak: netlink: %w", err)
+	}
+	answer := make([]byte, 4096)
+	n, _, err := syscall.Recvfrom(fd, answer, 0)
 	if err != nil {
-		return out
+		return 0, fmt.Errorf("soak: netlink: %w", err)
 	}
-	defer func() { _ = f.Close() }()
-	lines := bufio.NewScanner(f)
-	for lines.Scan() {
-		fields := strings.Fields(lines.Text())
-		if len(fields) < 10 {
-			continue
-		}
-		// A closed connection of the same port has no inode and thus no owner.
-		if id, ok := owners[fields[9]]; ok {
-			out[fields[1]+" "+fields[2]] = id
-		}
+	if n < inodeOffset+4 || binary.NativeEndian.Uint16(answer[4:]) != sockDiagByName {
+		return 0, errDiag
 	}
-	return out
+	return binary.NativeEndian.Uint32(answer[inodeOffset:]), nil
 }
 
 // inodes lists the sockets that a process has open.
-func inodes(pid int) []string {
+func inodes(pid int) []uint32 {
 	dir := "/proc/" + strconv.Itoa(pid) + "/fd"
 	entries, err := os.ReadDir(dir)
 	if err != nil {
 		return nil
 	}
-	var out []string
+	var out []uint32
 	for _, e := range entries {
 		name, err := os.Readlink(dir + "/" + e.Name())
-		if inode, ok := strings.CutPrefix(name, "socket:["); ok && err == nil {
-			out = append(out, strings.TrimSuffix(inode, "]"))
+		inode, ok := strings.CutPrefix(name, "socket:[")
+		if err != nil || !ok {
+			continue
+		}
+		if n, err := strconv.ParseUint(strings.TrimSuffix(inode, "]"), 10, 32); err == nil {
+			out = append(out, uint32(n))
 		}
 	}
 	return out
