--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PKGS ?= ./...
 TIMEOUT ?= 10m
 
-.PHONY: test build fmt vet lint demo soak bench
+.PHONY: test build fmt vet lint demo soak bench capacity known-red
 
 ## test: format check, vet, lint, build and all tests under the race detector.
 test: fmt vet lint build
@@ -38,3 +38,7 @@
 soak:
 	SEED=$(SEED) RUNS=$(RUNS) FAULTS=$(FAULTS) DOMAINS=$(DOMAINS) SOAK_OUT=$(SOAK_OUT) \
 		$(GO) test -count=1 -timeout 2h -v ./internal/soak
+
+## capacity: measure what a host costs and rewrite the tables of docs/CAPACITY.md.
+capacity:
+	$(GO) run ./internal/capacity/report
