--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -43,6 +43,7 @@
 	callers *record.Log
 	load    load.Workload
 	rules   string // that the faults of the run have published
+	midRun  ident.Revision
 
 	taken   map[string]bool // targets of faults so far
 	outages []checker.Outage
@@ -59,6 +60,7 @@
 	Violations []checker.Violation
 	Requests   int
 	Answered   int
+	Took       time.Duration
 	Err        error // of the harness, or a fleet that did not recover
 	records    []record.Record
 }
@@ -120,10 +122,12 @@
 			duration += faultTime // the other fault may delay the bound
 		}
 	}
+	begin := time.Now()
 	x := newRun(c, seed)
 	x.load = workload(seed, duration)
 	from := uint64(len(c.Deployment.Log.All()))
 	results, err := x.drive(faults)
+	out.Took = time.Since(begin)
 	out.Requests = len(results)
 	for _, r := range results {
 		if r.Outcome == record.Answered {
@@ -166,7 +170,7 @@
 		}
 		f.inject(x)
 	}
-	x.publish(x.rules + "# run " + fmt.Sprint(x.seed) + "\n")
+	x.midRun = x.publish(x.rules + "# run " + fmt.Sprint(x.seed) + "\n")
 	time.Sleep(faultTime)
 	err := x.repair(x.repairs)
 	loading.Wait()
