--- a/pkg/entryhost/settings.go
+++ b/pkg/entryhost/settings.go
@@ -45,6 +45,10 @@
 		"Durations are written with a unit, as in 950ms or 5s."
 }
 
+// maxSlot is the highest slot: heartbeats name the hosts of a domain by slots of
+// one byte.
+const maxSlot = 255
+
 // Check returns all faults of the settings, each with name, value and what is
 // allowed.
 func (s Settings) Check() error {
@@ -58,8 +62,8 @@
 	if s.Domain == "" {
 		fault("domain", s.Domain, "want the name of a failure domain")
 	}
-	if s.Slot < 0 {
-		fault("slot", s.Slot, "want 0 or more")
+	if s.Slot < 0 || s.Slot > maxSlot {
+		fault("slot", s.Slot, fmt.Sprintf("want 0 to %d", maxSlot))
 	}
 	s.checkAddresses(fault)
 	s.checkFiles(fault)
--- a/pkg/entryhost/settings_test.go
+++ b/pkg/entryhost/settings_test.go
@@ -54,6 +54,7 @@
 			Expect(err).To(MatchError(MatchRegexp("want|go together|add up")))
 		},
 		Entry("slot", "slot", "-1"),
+		Entry("slot beyond what heartbeats can name", "slot", "256"),
 		Entry("caller address by name", "listen", "localhost:80"),
 		Entry("peer address without port", "peer-listen", "127.0.0.1"),
 		Entry("admin port", "admin-listen", "127.0.0.1:70000"),
