--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PKGS ?= ./...
 TIMEOUT ?= 10m
 
-.PHONY: capacity experiments test build fmt vet lint demo soak bench
+.PHONY: test build fmt vet lint demo soak bench capacity known-red
 
 ## test: format check, vet, lint, build and all tests under the race detector.
 test: fmt vet lint build
@@ -28,6 +28,17 @@
 demo:
 	$(GO) run ./internal/demo
 
+SEED ?= 1
+RUNS ?= 40
+
+## soak: seeded runs under faults, a table of violations, and the command that
+## repeats each failure. SEED is the first seed, RUNS their number. FAULTS (names
+## joined by +) and DOMAINS fix what the seed would choose; SOAK_OUT is a directory
+## for the records and logs of failed runs.
+soak:
+	SEED=$(SEED) RUNS=$(RUNS) FAULTS=$(FAULTS) DOMAINS=$(DOMAINS) SOAK_OUT=$(SOAK_OUT) \
+		$(GO) test -count=1 -timeout 2h -v ./internal/soak
+
 ## capacity: measure what a host costs and rewrite the tables of docs/CAPACITY.md.
 capacity:
 	$(GO) run ./internal/capacity/report
--- a/pkg/node/config.go
+++ b/pkg/node/config.go
@@ -95,7 +95,9 @@
 	}
 }
 
-// confSync sets a seed that differs between hosts so that their reads spread.
+// confSync sets a seed that differs between hosts, so that their reads spread. New
+// sets the validation.
 func confSync(self ident.Process, domain ident.FailureDomain) confsync.Config {
-	return confsync.DefaultConfig(self, domain, xxhash.Sum64String(self.String()))
+	seed := xxhash.Sum64String(self.String())
+	return confsync.DefaultConfig(self, domain, seed)
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -31,10 +31,11 @@
 	budget  *retry.Budget
 	orders  map[placement.Pool]*poolOrders
 
+	valid    validated
 	rules    *ruleset.Rules // nil until the first generation is in force
-	parsed   parsedRules
 	revision ident.Revision
 	requests map[ident.RequestID]*request
+	moving   []ident.RequestID // requests in the phase moving
 
 	ready      bool
 	superseded bool
@@ -46,6 +47,7 @@
 	hostsAt    time.Time
 	ordersAt   time.Time
 	hostsBusy  bool
+	heard      bool // every host of the domain that is not dead hears this one
 	reader     bool // this host watches the platform
 	stats      Stats
 }
@@ -74,8 +76,10 @@
 		requests: map[ident.RequestID]*request{},
 		stats:    Stats{Refused: map[Code]uint64{}},
 	}
-	cfg.ConfSync.Validate = n.parsed.validate
-	n.conf = confsync.New(cfg.ConfSync, now)
+	if n.cfg.ConfSync.Validate == nil {
+		n.cfg.ConfSync.Validate = n.validateRules
+	}
+	n.conf = confsync.New(n.cfg.ConfSync, now)
 	n.place.Owned(n.owns)
 	return n
 }
@@ -155,6 +159,7 @@
 	n.applyLimits(n.limits.Tick(n.now))
 	n.applyPlacement(n.place.Tick(n.now))
 	n.applyOnce(n.once.Tick(n.now))
+	n.expireMoves()
 	n.refreshViewIfDue()
 	n.pollIfDue()
 	n.ordersIfDue()
