--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PKGS ?= ./...
 TIMEOUT ?= 10m
 
-.PHONY: test build fmt vet lint demo soak bench capacity known-red
+.PHONY: test build fmt vet lint demo soak bench capacity experiments known-red
 
 ## test: format check, vet, lint, build and all tests under the race detector.
 test: fmt vet lint build
