--- a/internal/soak/many.go
+++ b/internal/soak/many.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/mulberrystream/mulberrystream/internal/record"
 )
@@ -48,12 +49,13 @@
 type Runner struct {
 	Rules   string
 	Fleets  int             // side by side
+	Until   time.Time       // no run starts later; zero is no limit
 	OutDir  string          // records and logs of failed runs, if not empty
 	Observe func(o Outcome) // called after each run, one call at a time
 	mu      sync.Mutex
 }
 
-// Run runs all specs and returns their outcomes in the order of their ends.
+// Run runs the specs and returns their outcomes in the order of their ends.
 func (r *Runner) Run(specs []Spec) []Outcome {
 	queue := make(chan Spec)
 	var wg sync.WaitGroup
@@ -71,6 +73,9 @@
 		})
 	}
 	for _, s := range specs {
+		if !r.Until.IsZero() && time.Now().After(r.Until) {
+			break
+		}
 		queue <- s
 	}
 	close(queue)
