--- a/Makefile
+++ b/Makefile
@@ -46,3 +46,7 @@
 ## known-red: the tests of KNOWN-RED.txt, whose verdict is ignored.
 known-red:
 	-KNOWN_RED=1 $(GO) test -count=1 -timeout $(TIMEOUT) -v -run '^TestKnownRed' ./internal/soak
+
+## experiments: run loads through real processes; results go to out/experiments.
+experiments:
+	$(GO) run ./internal/experiments
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -31,8 +31,8 @@
 	budget  *retry.Budget
 	orders  map[placement.Pool]*poolOrders
 
-	valid    validated
 	rules    *ruleset.Rules // nil until the first generation is in force
+	parsed   parsedRules
 	revision ident.Revision
 	requests map[ident.RequestID]*request
 	moving   []ident.RequestID // requests in the phase moving
@@ -76,10 +76,8 @@
 		requests: map[ident.RequestID]*request{},
 		stats:    Stats{Refused: map[Code]uint64{}},
 	}
-	if n.cfg.ConfSync.Validate == nil {
-		n.cfg.ConfSync.Validate = n.validateRules
-	}
-	n.conf = confsync.New(n.cfg.ConfSync, now)
+	cfg.ConfSync.Validate = n.parsed.validate
+	n.conf = confsync.New(cfg.ConfSync, now)
 	n.place.Owned(n.owns)
 	return n
 }
