node: start no work after a pause before the configuration is confirmed

New arrivals were refused until the configuration was confirmed, requests in hand were not. In the drill a prefill and a decode began at the pool of teku 14 ms apart after the wake, for a key that had been withdrawn during the pause. Ruled out: a late effect of the driver (the attempt number was a new one) and a stale reading of the configuration (the new revision was not in force yet).

Change: book, the answer to a booking, the step from prefill to transfer, the step from transfer to decode and a call of a plain service wait for confsync to be ready. Completions are held and booked again then, at most 5 s; calls are refused.

Before: 5 of 5 specs of pause_test.go fail, and the drill "A paused host". After: both pass (go test -race ./pkg/node; go test -race ./internal/drills -ginkgo.focus paused). Conclusion: a woken host does nothing for a withdrawn key or on a recalled batch.

--- a/pkg/node/completion.go
+++ b/pkg/node/completion.go
@@ -99,6 +99,14 @@
 func (n *Node) book(r *request) {
 	r.phase = booking
 	r.booked = false
+	if !n.conf.Ready() {
+		if r.heldAt.IsZero() {
+			r.heldAt = n.now
+		}
+		n.holding = true
+		return
+	}
+	r.heldAt = time.Time{}
 	org, _ := n.rules.Organisation(r.org)
 	n.applyPlacement(n.place.Book(n.now, placement.Request{
 		Ref:          r.ref(),
@@ -141,8 +149,9 @@
 	}
 	r.booking = b
 	r.booked = true
-	if n.bookingRecalled(r) {
-		// The owner acted on an older generation than this host.
+	if n.bookingRecalled(r) || !n.conf.Ready() {
+		// The owner acted on an older generation than this host, or the host has
+		// been paused and does not know yet what is in force.
 		n.nextAttempt(r)
 		return
 	}
@@ -204,6 +213,9 @@
 		return
 	}
 	r.started = true
+	if n.heldBack(r) {
+		return
+	}
 	n.applyPlacement(n.place.PrefillDone(n.now, r.ref()))
 	r.phase = importing
 	n.emit(Import{
@@ -234,6 +246,9 @@
 		n.attemptFailed(r, e.Err, r.booking.Decode)
 		return
 	}
+	if n.heldBack(r) {
+		return
+	}
 	r.phase = decoding
 	n.emit(Decode{
 		Ref:       r.ref(),
@@ -318,6 +333,39 @@
 	n.nextAttempt(r)
 }
 
+// holdLimit bounds how long a request waits for the configuration to be confirmed
+// after a pause. Confirmation takes up to 2 s with one of peers and platform.
+const holdLimit = 5 * time.Second
+
+// heldBack gives up the engines of an attempt whose next step would begin before
+// the configuration is confirmed after a pause. The key may have been withdrawn or
+// the engines recalled meanwhile.
+func (n *Node) heldBack(r *request) bool {
+	if n.conf.Ready() {
+		return false
+	}
+	n.cancelBooking(r)
+	n.nextAttempt(r)
+	return true
+}
+
+// bookHeld goes on with the requests that a pause has held back.
+func (n *Node) bookHeld() {
+	if !n.holding {
+		return
+	}
+	n.holding = !n.conf.Ready()
+	for _, r := range n.sortedRequests() {
+		switch {
+		case r.heldAt.IsZero():
+		case n.conf.Ready():
+			n.book(r)
+		case n.now.Sub(r.heldAt) >= holdLimit:
+			n.fail(r, CodeNotReady, shuttingDownRetry, "the configuration was not confirmed after a pause of this host")
+		}
+	}
+}
+
 // maxBounces bounds how often a request is booked again because an engine was
 // full or leaving.
 const maxBounces = 8
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -36,6 +36,7 @@
 	requests map[ident.RequestID]*request
 
 	ready      bool
+	holding    bool // a request may wait for the end of a pause
 	superseded bool
 	drain      drainState
 	viewAt     time.Time
@@ -147,6 +148,7 @@
 	n.tellLocal()
 	n.applyMembership(n.members.Tick(n.now))
 	n.applyConf(n.conf.Tick(n.now))
+	n.bookHeld()
 	n.applyHosts(n.hosts.Tick(n.now))
 	n.applyLimits(n.limits.Tick(n.now))
 	n.applyPlacement(n.place.Tick(n.now))
--- /dev/null
+++ b/pkg/node/pause_test.go
@@ -0,0 +1,84 @@
+package node_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/node"
+)
+
+// Guards against a host that goes on with keys and recalls from before a pause: the
+// first thing it sees of its running work is often a broken stream, which it would
+// resume at another engine before it has read the configuration.
+var _ = Describe("A pause", func() {
+	broken := &node.CallError{Step: "decode", Reason: "connection lost"}
+
+	It("starts no work for a key that was withdrawn meanwhile", func() {
+		s := newSession()
+		ref := s.toDecode()
+		s.now = s.now.Add(5 * time.Second)
+		s.step(node.DecodeEnded{Ref: ref, Delivered: 4, Err: broken})
+		Expect(effects[node.Prefill](s)).To(BeEmpty())
+		prefills, refusals := s.confirm(2, withoutLine("key "))
+		Expect(prefills).To(BeEmpty())
+		Expect(refusals).To(ConsistOf(HaveField("Code", node.CodeKeyWithdrawn)))
+	})
+
+	It("goes on with a stream once the configuration is confirmed", func() {
+		s := newSession()
+		ref := s.toDecode()
+		s.now = s.now.Add(5 * time.Second)
+		s.step(node.DecodeEnded{Ref: ref, Delivered: 4, Err: broken})
+		prefills, refusals := s.confirm(1, rules)
+		Expect(prefills).To(ConsistOf(HaveField("Resume", 4)))
+		Expect(refusals).To(BeEmpty())
+	})
+
+	DescribeTable("does not take an attempt to its next step", func(next func(*session)) {
+		s := newSession()
+		s.arrive()
+		s.now = s.now.Add(5 * time.Second)
+		next(s)
+		Expect(effects[node.Import](s)).To(BeEmpty())
+		Expect(effects[node.Decode](s)).To(BeEmpty())
+	},
+		Entry("after a prefill", (*session).prefilled),
+		Entry("after a transfer", func(s *session) {
+			s.now = s.now.Add(-5 * time.Second)
+			s.prefilled()
+			s.now = s.now.Add(5 * time.Second)
+			s.imported()
+		}),
+	)
+
+	It("ends a request that cannot be confirmed", func() {
+		s := newSession()
+		ref := s.toDecode()
+		s.now = s.now.Add(5 * time.Second)
+		s.step(node.DecodeEnded{Ref: ref, Delivered: 4, Err: broken})
+		var refused []node.Refuse
+		for range 20 {
+			s.now = s.now.Add(400 * time.Millisecond)
+			s.step(node.Tick{})
+			refused = append(refused, effects[node.Refuse](s)...)
+		}
+		Expect(refused).To(ConsistOf(And(HaveField("Code", node.CodeNotReady), HaveField("Ran", node.DidRun))))
+	})
+})
+
+// confirm lets the platform answer the reads that follow a pause, of which the
+// first is void, and returns what the node starts and refuses meanwhile.
+func (s *session) confirm(revision ident.Revision, text string) (prefills []node.Prefill, refusals []node.Refuse) {
+	for range 8 {
+		s.advance(400 * time.Millisecond)
+		prefills = append(prefills, effects[node.Prefill](s)...)
+		refusals = append(refusals, effects[node.Refuse](s)...)
+		s.publish(revision, text)
+		prefills = append(prefills, effects[node.Prefill](s)...)
+		refusals = append(refusals, effects[node.Refuse](s)...)
+	}
+	return prefills, refusals
+}
--- a/pkg/node/request.go
+++ b/pkg/node/request.go
@@ -53,6 +53,8 @@
 	delivered    int  // output tokens that the caller has
 	recalling    bool // the stream is being stopped because of a recall
 
+	heldAt time.Time // since when a pause of the host holds the booking back; zero otherwise
+
 	call *serviceCall // set for plain services
 }
 
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -97,6 +97,11 @@
 }
 
 func (n *Node) callService(r *request) {
+	if !n.conf.Ready() {
+		// After a pause the key may have been withdrawn, also for a repeated call.
+		n.fail(r, CodeNotReady, shuttingDownRetry, "the configuration was not confirmed after a pause of this host")
+		return
+	}
 	backend, ok := n.place.PickService(n.now, r.model, r.ref(), r.exclude)
 	if !ok {
 		n.fail(r, CodeNoBackend, shuttingDownRetry, "no replica of the service takes work")
