--- /dev/null
+++ b/internal/drills/platform_test.go
@@ -0,0 +1,140 @@
+package drills_test
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberrystream/mulberrystream/internal/fleet"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+)
+
+// otherThan lets the requests to other hosts count.
+func otherThan(id ident.HostID) func(sent) bool {
+	return func(s sent) bool { return s.host != id }
+}
+
+// expectRevision checks that no host has another revision in force than the newest.
+func (s *site) expectRevision() {
+	GinkgoHelper()
+	for _, h := range s.Hosts {
+		st, err := h.Status()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(st.Revision).To(Equal(s.revision), "host %s", h.ID)
+	}
+}
+
+var _ = Describe("The configuration service", func() {
+	// Guards against a new host that waits for the platform although its peers have
+	// the generation, and against a fleet that fails with the platform.
+	It("is down while a host is replaced", func() {
+		s := bagmati
+		lost := s.Hosts[0]
+		l := startLoad(keyHimal, s.Hosts)
+		l.answered(10)
+		s.Deployment.Platform.Down()
+		DeferCleanup(func() { _ = s.Deployment.Platform.Up() })
+		lost.Kill()
+		l.aim(s.Hosts[1:]...)
+		Expect(s.Replace(0, lost.ID)).To(Succeed())
+		awaitInForce(s.Hosts[:1], s.revision)
+		Expect(s.WaitReady()).To(Succeed())
+		s.expectRevision()
+		l.aim(s.Hosts...)
+		l.answered(40)
+		Expect(s.Deployment.Platform.Up()).To(Succeed())
+		s.inForceSoon(s.publish(s.rules))
+		l.expectRight(func(a sent) bool { return a.host != lost.ID || a.answer.Complete })
+	})
+
+	// Guards against hosts that take an older generation for news, and against
+	// hosts that do not follow the service once it is current again.
+	It("is stale and goes back, and nothing reverts", func() {
+		s := bagmati
+		l := startLoad(keyHimal, s.Hosts)
+		s.inForceSoon(s.publish(fleet.WithoutKey(s.rules, "everest-1")))
+		withdrawn := s.revision
+		s.Deployment.Platform.GoBack(1)
+		DeferCleanup(s.Deployment.Platform.Thaw)
+		By("reading the lower revision")
+		Expect(fleet.Await("an alarm", func() bool { return s.logged("lower generation") })).To(Succeed())
+		s.expectRevision()
+		for _, h := range s.Hosts {
+			Expect(ask(h, keyEverest).Status).To(Equal(401), "host %s went back", h.ID)
+		}
+		By("publishing while the service is stale")
+		s.publish(s.rules)
+		l.answered(20)
+		for _, h := range s.Hosts {
+			_, early := h.InForce(s.revision)
+			Expect(early).To(BeFalse(), "the service shows old values")
+			st, err := h.Status()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(st.Revision).To(Equal(withdrawn))
+		}
+		s.Deployment.Platform.Thaw()
+		awaitInForce(s.Hosts, s.revision)
+		l.expectAllRight()
+	})
+
+	// Guards against a domain that stays behind when the host that reads for it
+	// dies at the wrong moment.
+	It("is read by another host when a reader dies", func() {
+		s := large
+		readers := ident.Rank("reader/teku", s.idsOf("teku"))
+		l := startLoad(keyHimal, s.Hosts)
+		l.answered(10)
+		i := s.index(readers[0])
+		lost := s.Hosts[i]
+		lost.Kill()
+		at := s.publish(s.rules + fmt.Sprintf("# revision %d\n", s.revision+1))
+		l.aim(without(s.Hosts, lost)...)
+		last := awaitInForce(without(s.Hosts, lost), s.revision)
+		Expect(last.Sub(at)).To(BeNumerically("<", inForceLimit))
+		l.answered(20)
+		l.expectRight(otherThan(lost.ID))
+		Expect(s.Replace(i, "")).To(Succeed())
+		s.restore()
+	})
+})
+
+// logged says whether any host has logged a text.
+func (s *site) logged(text string) bool {
+	for _, h := range s.Hosts {
+		if ok, _ := ContainSubstring(text).Match(h.Log()); ok {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *site) idsOf(domain ident.FailureDomain) []ident.HostID {
+	var out []ident.HostID
+	for _, h := range s.of(domain) {
+		out = append(out, h.ID)
+	}
+	return out
+}
+
+// of returns the hosts of a domain.
+func (s *site) of(domain ident.FailureDomain) []*fleet.Host {
+	var out []*fleet.Host
+	for _, h := range s.Hosts {
+		if h.Domain == domain {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+func (s *site) index(id ident.HostID) int {
+	GinkgoHelper()
+	for i, h := range s.Hosts {
+		if h.ID == id {
+			return i
+		}
+	}
+	Fail("no host " + string(id))
+	return 0
+}
--- /dev/null
+++ b/internal/drills/publish_test.go
@@ -0,0 +1,221 @@
+package drills_test
+
+import (
+	"context"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberrystream/mulberrystream/internal/caller"
+	"github.com/mulberrystream/mulberrystream/internal/fleet"
+	"github.com/mulberrystream/mulberrystream/internal/record"
+	"github.com/mulberrystream/mulberrystream/pkg/engine"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+)
+
+var _ = Describe("A publication under load", func() {
+	// Guards against hosts that miss a generation, and against answers that are
+	// cut or refused because the rules change.
+	It("is in force on every host and interrupts no answer", func() {
+		s := bagmati
+		l := startLoad(keyHimal, s.Hosts)
+		l.answered(10)
+		s.inForceSoon(s.publish(s.rules + "# a comment at the end\n"))
+		l.answered(10)
+		l.expectAllRight()
+		s.restore()
+	})
+
+	// Guards against a withdrawn key that still starts work on some host, and
+	// against other callers that suffer from the withdrawal.
+	It("withdraws a key on every host", func() {
+		s := bagmati
+		other := startLoad(keyHimal, s.Hosts)
+		withdrawn := startLoad(keyEverest, s.Hosts)
+		withdrawn.answered(10)
+		at := s.publish(fleet.WithoutKey(s.rules, "everest-1"))
+		s.inForceSoon(at)
+		time.Sleep(time.Until(at.Add(inForceLimit)))
+		withdrawn.answered(20)
+		late := 0
+		for _, a := range withdrawn.end() {
+			if a.at.Before(at.Add(inForceLimit)) {
+				continue
+			}
+			late++
+			Expect(a.answer.Status).To(Equal(401), "host %s accepted the withdrawn key", a.host)
+		}
+		Expect(late).To(BeNumerically(">", 0))
+		other.expectAllRight()
+		s.restore()
+	})
+
+	// Guards against work on a faulty version after its recall, against engines
+	// that are not told to load the other one, and against answers that mix two
+	// versions.
+	It("recalls a version, orders the other one and comes back", func() {
+		s := bagmati
+		l := startLoad(keyHimal, s.Hosts)
+		l.answered(10)
+		at := s.recallV7()
+		s.awaitVersion("v6")
+		time.Sleep(time.Until(at.Add(inForceLimit)))
+		l.answered(20)
+		Expect(s.worksAfter(at.Add(inForceLimit), onVersion("v7"))).To(BeEmpty())
+		s.restore()
+		s.awaitVersion("v7")
+		s.awaitServed(keyHimal)
+		back := time.Now()
+		l.answered(20)
+		for _, a := range l.end() {
+			a.expectHonest()
+		}
+		l.expectRight(func(a sent) bool { return a.at.After(back) })
+	})
+
+	// Guards against a recall that leaves a model out of service although its
+	// engines have loaded an allowed version. See KNOWN-RED.txt.
+	It("serves the other version after a recall", func() {
+		if os.Getenv("KNOWN_RED") != "1" {
+			Skip("KNOWN-RED.txt: hosts refuse by the version in the host list")
+		}
+		s := bagmati
+		s.recallV7()
+		DeferCleanup(func() {
+			s.restore()
+			s.awaitVersion("v7")
+			s.awaitServed(keyHimal)
+		})
+		s.awaitVersion("v6")
+		s.awaitServed(keyHimal)
+		l := startLoad(keyHimal, s.Hosts)
+		l.answered(20)
+		l.expectAllRight()
+	})
+
+	// Guards against a rate that is changed on some hosts only, and against burst
+	// tokens of the former rules that outlive them.
+	It("lowers a rate", func() {
+		s := bagmati
+		const rate, burst = 400, 400
+		s.inForceSoon(s.publish(strings.Replace(s.rules,
+			"organisation kathmandu-clips rate 2000 burst 20000 weight 1 prefer refuse",
+			"organisation kathmandu-clips rate 400 burst 400 weight 1 prefer refuse", 1)))
+		begin := time.Now()
+		l := startLoad(keyKathmandu, s.Hosts)
+		Eventually(func() int { return len(l.refusedWith("rate_limited")) }, fleet.WaitLimit).Should(BeNumerically(">", 20))
+		tokens := 0
+		for _, a := range l.end() {
+			a.expectHonest()
+			if a.answer.Complete {
+				tokens += loadPrompt + loadOutput
+			}
+		}
+		Expect(tokens).To(BeNumerically(">", 0))
+		Expect(float64(tokens)).To(BeNumerically("<=", burst+rate*time.Since(begin).Seconds()))
+		s.restore()
+	})
+})
+
+// recallV7 publishes a recall of the version that all engines serve.
+func (s *site) recallV7() time.Time {
+	GinkgoHelper()
+	at := s.publish(s.rules + "recall version inspect-lm v7 # quality, drill\n")
+	s.inForceSoon(at)
+	return at
+}
+
+func onVersion(v ident.Version) func(record.Record) bool {
+	return func(r record.Record) bool { return r.Version == v }
+}
+
+// expectHonest checks an answer that may be refused or broken: what came of it is
+// the beginning of the right answer, and a refusal says that nothing ran only if
+// nothing came.
+func (s sent) expectHonest() {
+	GinkgoHelper()
+	Expect(s.answer.Err).NotTo(HaveOccurred())
+	if s.answer.Complete {
+		Expect(s.right()).To(BeTrue())
+		return
+	}
+	Expect(s.answer.Code).NotTo(BeEmpty(), "an incomplete answer must say why")
+	Expect(s.want()).To(HavePrefix(s.answer.Text))
+	if s.answer.Tokens > 0 {
+		Expect(s.answer.Ran).NotTo(Equal("not_run"))
+	}
+}
+
+func (l *load) refusedWith(code string) []sent {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []sent
+	for _, s := range l.done {
+		if s.answer.Code == code {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// awaitServed waits until every host has answered a request. A host learns what an
+// engine has loaded from the engine's reports, which lag.
+func (s *site) awaitServed(key string) {
+	GinkgoHelper()
+	for _, h := range s.Hosts {
+		Expect(fleet.Await("an answer of "+string(h.ID), func() bool { return ask(h, key).Complete })).To(Succeed())
+	}
+}
+
+// awaitVersion waits until every engine serves a version.
+func (s *site) awaitVersion(v ident.Version) {
+	GinkgoHelper()
+	Expect(fleet.Await("version "+string(v)+" on all engines", func() bool {
+		for _, i := range s.Deployment.Infos() {
+			if i.Role != engine.Service && i.Version != v {
+				return false
+			}
+		}
+		return true
+	})).To(Succeed())
+}
+
+var _ = Describe("A leaving backend server", func() {
+	// Guards against a pool owner or a host that keeps sending work to a server
+	// that is about to stop, and against answers that are cut by its leaving.
+	It("gets no new work after 6 s and no answer is cut", func() {
+		s := bagmati
+		l := startLoad(keyHimal, s.Hosts)
+		l.answered(20)
+		id := "inspect-lm-teku-d0"
+		at := time.Now()
+		s.Deployment.Platform.SetLeaving(id, true)
+		time.Sleep(time.Until(at.Add(inForceLimit)))
+		l.answered(60)
+		l.expectAllRight()
+		Expect(s.worksAfter(at.Add(inForceLimit), func(r record.Record) bool { return r.Server == id })).To(BeEmpty())
+		Expect(s.worksAfter(at.Add(inForceLimit), func(r record.Record) bool { return r.Server != id })).NotTo(BeEmpty())
+		s.Deployment.Platform.SetLeaving(id, false)
+	})
+})
+
+// stream begins a long stream at a host and returns its end once the first tokens
+// have come.
+func stream(h *fleet.Host, key string, tokens int) (end <-chan sent) {
+	GinkgoHelper()
+	begun := make(chan struct{})
+	var once sync.Once
+	result := make(chan sent, 1)
+	go func() {
+		s := sent{host: h.ID, at: time.Now(), prompt: freshPrompt(loadPrompt)}
+		r := caller.Request{Model: model, Prompt: s.prompt, MaxTokens: tokens, Stream: true}
+		s.answer = caller.Ask(context.Background(), h.Caller, key, r, func(int) { once.Do(func() { close(begun) }) })
+		result <- s
+	}()
+	Eventually(begun, fleet.WaitLimit).Should(BeClosed())
+	return result
+}
--- /dev/null
+++ b/internal/drills/suite_test.go
@@ -0,0 +1,176 @@
+package drills_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mulberrystream/mulberrystream/internal/fake"
+	"github.com/mulberrystream/mulberrystream/internal/fleet"
+	"github.com/mulberrystream/mulberrystream/internal/record"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+)
+
+func TestDrills(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "drills")
+}
+
+// inForceLimit is the time that the design page gives to publications, withdrawn
+// keys, recalls and leaving backend servers.
+const inForceLimit = 6 * time.Second
+
+// Keys of the example rules.
+const (
+	keyEverest   = "everest-1.demo-secret-everest-1"
+	keyHimal     = "himal-1.demo-secret-himal-1"
+	keyKathmandu = "kathmandu-1.demo-secret-kathmandu-1"
+)
+
+// ampleRates lift the limits of the organisations of the load and of the drills
+// and let them wait, since a busy machine would miss the latency target.
+var ampleRates = []string{
+	"rate 9000 burst 60000 weight 4 prefer refuse", "rate 9000000 burst 9000000 weight 4 prefer wait",
+	"rate 7000 burst 50000 weight 4 prefer refuse", "rate 9000000 burst 9000000 weight 4 prefer wait",
+}
+
+// twoDomains makes the rules fit two domains of four slots.
+var twoDomains = []string{
+	"domain balaju slots 2", "domain balaju slots 4",
+	"domain teku slots 2", "domain teku slots 4",
+	"domain patan slots 2 # platform team\n", "",
+	"domain thimi slots 2 # platform team\n", "",
+}
+
+// site is a fleet with the rules that it has in force between drills.
+type site struct {
+	*fleet.Fleet
+	rules    string
+	revision ident.Revision
+	network  *partitions // nil without proxies
+}
+
+var (
+	// bagmati has two hosts in each of four domains.
+	bagmati *site
+	// large has four hosts in each of two domains, with proxies between the
+	// domains and before the platform.
+	large *site
+)
+
+var _ = BeforeSuite(func() {
+	var g errgroup.Group
+	g.Go(func() (err error) {
+		bagmati, err = startSite(fake.BagmatiPlan(), nil, ampleRates...)
+		return err
+	})
+	g.Go(func() (err error) {
+		plan := fake.BagmatiPlan()
+		plan.Domains = []ident.FailureDomain{"teku", "balaju"}
+		n := newPartitions()
+		large, err = startSite(plan, n, append(twoDomains, ampleRates...)...)
+		return err
+	})
+	err := g.Wait()
+	DeferCleanup(func() {
+		for _, s := range []*site{bagmati, large} {
+			if s != nil {
+				s.Close()
+			}
+		}
+	})
+	Expect(err).NotTo(HaveOccurred())
+})
+
+var _ = ReportAfterEach(func(r SpecReport) {
+	if !r.Failed() {
+		return
+	}
+	for _, s := range []*site{bagmati, large} {
+		if s == nil {
+			continue
+		}
+		for _, h := range s.Hosts {
+			fmt.Fprintf(GinkgoWriter, "log of %s:\n%s\n", h.ID, tail(h.Log(), 6000))
+		}
+	}
+})
+
+func tail(s string, n int) string { return s[max(0, len(s)-n):] }
+
+func startSite(plan fake.Plan, n *partitions, replace ...string) (*site, error) {
+	rules, err := fleet.ReadRules("../../examples/bagmati.rules", replace...)
+	if err != nil {
+		return nil, err
+	}
+	timing := fake.DefaultTiming()
+	timing.Scale = 0.2
+	plan.Version = "v7"
+	o := fleet.Options{
+		Plan:  plan,
+		Fake:  fake.Options{Timing: &timing, Seed: 1, Rules: rules},
+		Hosts: 8,
+		Args:  []string{"--drain-linger", "300ms"},
+	}
+	if n != nil {
+		o.Network = func(d *fake.Deployment) (fleet.Network, error) { return n, n.start(d) }
+	}
+	f, err := fleet.Start(o)
+	if err != nil {
+		return nil, err
+	}
+	return &site{Fleet: f, rules: rules, revision: 1, network: n}, nil
+}
+
+// publish publishes rules under the next revision and returns when it began to.
+func (s *site) publish(rules string) time.Time {
+	s.revision++
+	at := time.Now()
+	s.Deployment.Platform.Publish(s.revision, rules)
+	return at
+}
+
+// awaitInForce waits until some hosts have the newest revision in force, and
+// returns the time of the last one.
+func awaitInForce(hosts []*fleet.Host, r ident.Revision) time.Time {
+	GinkgoHelper()
+	var last time.Time
+	for _, h := range hosts {
+		var at time.Time
+		err := fleet.Await(fmt.Sprintf("revision %d on %s", r, h.ID), func() (ok bool) {
+			at, ok = h.InForce(r)
+			return ok
+		})
+		Expect(err).NotTo(HaveOccurred())
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+// inForceSoon checks that all hosts have the newest revision within the limit.
+func (s *site) inForceSoon(published time.Time) {
+	GinkgoHelper()
+	last := awaitInForce(s.Hosts, s.revision)
+	Expect(last.Sub(published)).To(BeNumerically("<", inForceLimit))
+}
+
+// restore publishes the first rules again and waits until the fleet is whole.
+func (s *site) restore() {
+	GinkgoHelper()
+	s.publish(s.rules)
+	awaitInForce(s.Hosts, s.revision)
+	Expect(s.WaitReady()).To(Succeed())
+}
+
+// worksAfter returns the work that backend servers began after a time.
+func (s *site) worksAfter(t time.Time, match func(record.Record) bool) []record.Record {
+	return s.Deployment.Log.Find(func(r record.Record) bool {
+		return r.Kind == record.Start && r.Step != "order" && r.Time.After(t) && match(r)
+	})
+}
