--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PKGS ?= ./...
 TIMEOUT ?= 10m
 
-.PHONY: test build fmt vet lint demo soak bench
+.PHONY: test build fmt vet lint demo soak bench docs-check
 
 ## test: format check, vet, lint, build and all tests under the race detector.
 test: fmt vet lint build
@@ -27,3 +27,7 @@
 ## demo: run the main job on stand-ins and print what happened to each request.
 demo:
 	$(GO) run ./internal/demo
+
+## docs-check: run the commands of docs/operators.md against a local fleet.
+docs-check:
+	DOCS_CHECK=1 $(GO) test -count 1 -timeout 5m ./internal/docscheck
