Ask pool owners by group and role, not by the listed version

Change: the entry host asks a pool unless its listed engines lack a role or belong to recalled groups; the owner decides about versions. The stand-ins of e2e and drills keep a KV cache for a minute before scaling: at a load average of 60 the scaled 160 ms ended before transfers began.

--- a/internal/drills/suite_test.go
+++ b/internal/drills/suite_test.go
@@ -109,6 +109,9 @@
 	}
 	timing := fake.DefaultTiming()
 	timing.Scale = 0.2
+	// On a busy machine the scaled lifetime would end before a transfer begins; the
+	// router's own bound of a transfer stays.
+	timing.KVLifetime = time.Minute
 	plan.Version = "v7"
 	o := fleet.Options{
 		Plan:  plan,
--- a/internal/e2e/suite_test.go
+++ b/internal/e2e/suite_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -42,6 +43,9 @@
 	GinkgoHelper()
 	timing := fake.DefaultTiming()
 	timing.Scale = 0.2
+	// On a busy machine the scaled lifetime would end before a transfer begins; the
+	// router's own bound of a transfer stays.
+	timing.KVLifetime = time.Minute
 	plan := fake.BagmatiPlan()
 	plan.Version = "v7"
 	f, err := fleet.Start(fleet.Options{
--- a/pkg/placement/client.go
+++ b/pkg/placement/client.go
@@ -78,7 +78,7 @@
 // capacity when the own domain has no engine for the request.
 func (p *Placer) homePool(r Request) (Pool, bool) {
 	home := Pool{Model: r.Model, Domain: p.cfg.Domain}
-	if p.filter.check(p.fleet.pools[home], r.wanted()) == "" {
+	if p.filter.mayServe(p.fleet.pools[home], r.wanted()) {
 		return home, true
 	}
 	return p.spillPool(r, nil, true)
@@ -97,7 +97,7 @@
 		if free <= 0 && !any || free <= bestFree {
 			continue
 		}
-		if p.filter.check(p.fleet.pools[key], r.wanted()) == "" {
+		if p.filter.mayServe(p.fleet.pools[key], r.wanted()) {
 			best, bestFree = key, free
 		}
 	}
--- a/pkg/placement/filter.go
+++ b/pkg/placement/filter.go
@@ -84,3 +84,21 @@
 	}
 	return ReasonNoEngine
 }
+
+// mayServe tells whether the owner of a pool should be asked, by the engines of the
+// platform's list. Engines load other versions and the list lags, so that only the
+// owner knows from reports which versions they serve.
+func (f filter) mayServe(engines []engine.Info, w wanted) bool {
+	if f.adapterRecalled(w.adapter) {
+		return false
+	}
+	var prefill, decode bool
+	for _, e := range engines {
+		if e.Leaving || slices.Contains(f.recall.Groups, e.Group) || slices.Contains(w.exclude, e.ID) {
+			continue
+		}
+		prefill = prefill || e.Role == engine.Prefill
+		decode = decode || e.Role == engine.Decode
+	}
+	return prefill && decode
+}
