--- a/pkg/node/config.go
+++ b/pkg/node/config.go
@@ -95,9 +95,7 @@
 	}
 }
 
-// confSync sets a seed that differs between hosts, so that their reads spread. New
-// sets the validation.
+// confSync sets a seed that differs between hosts so that their reads spread.
 func confSync(self ident.Process, domain ident.FailureDomain) confsync.Config {
-	seed := xxhash.Sum64String(self.String())
-	return confsync.DefaultConfig(self, domain, seed)
+	return confsync.DefaultConfig(self, domain, xxhash.Sum64String(self.String()))
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -31,13 +31,14 @@
 	budget  *retry.Budget
 	orders  map[placement.Pool]*poolOrders
 
-	valid    validated
 	rules    *ruleset.Rules // nil until the first generation is in force
+	parsed   parsedRules
 	revision ident.Revision
 	requests map[ident.RequestID]*request
 	moving   []ident.RequestID // requests in the phase moving
 
 	ready      bool
+	holding    bool // a request may wait for the end of a pause
 	superseded bool
 	drain      drainState
 	viewAt     time.Time
@@ -76,10 +77,8 @@
 		requests: map[ident.RequestID]*request{},
 		stats:    Stats{Refused: map[Code]uint64{}},
 	}
-	if n.cfg.ConfSync.Validate == nil {
-		n.cfg.ConfSync.Validate = n.validateRules
-	}
-	n.conf = confsync.New(n.cfg.ConfSync, now)
+	cfg.ConfSync.Validate = n.parsed.validate
+	n.conf = confsync.New(cfg.ConfSync, now)
 	n.place.Owned(n.owns)
 	return n
 }
@@ -155,6 +154,7 @@
 	n.tellLocal()
 	n.applyMembership(n.members.Tick(n.now))
 	n.applyConf(n.conf.Tick(n.now))
+	n.bookHeld()
 	n.applyHosts(n.hosts.Tick(n.now))
 	n.applyLimits(n.limits.Tick(n.now))
 	n.applyPlacement(n.place.Tick(n.now))
