Watch the host list on configuration readers only

Cause: a node that had once read the configuration counted as a reader for good, so every host watched the host list: 170 watches a second at 1,700 hosts, by arithmetic in docs/CAPACITY.md. Change: a host is a reader for five seconds after its last read.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -48,8 +48,8 @@
 	hostsAt    time.Time
 	ordersAt   time.Time
 	hostsBusy  bool
-	heard      bool // every host of the domain that is not dead hears this one
-	reader     bool // this host watches the platform
+	heard      bool      // every host of the domain that is not dead hears this one
+	readAt     time.Time // last read of the configuration from the platform
 	stats      Stats
 }
 
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -307,7 +307,8 @@
 // watchHostsIfDue watches the host list on configuration readers, and on a host
 // that has no list yet, since it may have no peer to ask.
 func (n *Node) watchHostsIfDue() {
-	wanted := n.reader || n.hosts.Version() == 0
+	reader := !n.readAt.IsZero() && n.now.Sub(n.readAt) < readerTime
+	wanted := reader || n.hosts.Version() == 0
 	if n.hostsBusy || !wanted || n.now.Before(n.hostsAt) {
 		return
 	}
--- a/pkg/node/rules.go
+++ b/pkg/node/rules.go
@@ -12,6 +12,11 @@
 	"github.com/mulberrystream/mulberrystream/pkg/ruleset"
 )
 
+// readerTime is how long a host counts as a configuration reader after it last
+// read. A reader watches again at once, for 1.5 s at a time, so it stays one; a host
+// that has read once, such as at its start, soon is none.
+const readerTime = 5 * time.Second
+
 // hostsRetry is the pause after a failed read of the host list.
 const hostsRetry = time.Second
 
@@ -33,7 +38,7 @@
 		n.setRules(*r.Accepted)
 	}
 	if r.Read != nil {
-		n.reader = true
+		n.readAt = n.now
 		n.emit(ReadConfig{Read: *r.Read})
 	}
 }
