--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PKGS ?= ./...
 TIMEOUT ?= 10m
 
-.PHONY: test build fmt vet lint demo soak bench capacity known-red
+.PHONY: test build fmt vet lint demo soak bench capacity known-red experiments docs-check
 
 ## test: format check, vet, lint, build and all tests under the race detector.
 test: fmt vet lint build
@@ -46,3 +46,11 @@
 ## known-red: the tests of KNOWN-RED.txt, whose verdict is ignored.
 known-red:
 	-KNOWN_RED=1 $(GO) test -count=1 -timeout $(TIMEOUT) -v -run '^TestKnownRed' ./internal/soak
+
+## experiments: run loads through real processes; results go to out/experiments.
+experiments:
+	$(GO) run ./internal/experiments
+
+## docs-check: run the commands of docs/operators.md against a local fleet.
+docs-check:
+	DOCS_CHECK=1 $(GO) test -count 1 -timeout 5m ./internal/docscheck
--- a/pkg/node/completion.go
+++ b/pkg/node/completion.go
@@ -99,6 +99,14 @@
 func (n *Node) book(r *request) {
 	r.phase = booking
 	r.booked = false
+	if !n.conf.Ready() {
+		if r.heldAt.IsZero() {
+			r.heldAt = n.now
+		}
+		n.holding = true
+		return
+	}
+	r.heldAt = time.Time{}
 	org, _ := n.rules.Organisation(r.org)
 	n.applyPlacement(n.place.Book(n.now, placement.Request{
 		Ref:          r.ref(),
@@ -135,17 +143,26 @@
 
 func (n *Node) bookedEngines(b placement.Booking) {
 	r := n.requests[b.Ref.Request]
-	if r == nil || r.attempt != b.Ref.Attempt || r.phase != booking {
+	wanted := r != nil && r.attempt == b.Ref.Attempt && (r.phase == booking || r.phase == moving)
+	if !wanted {
 		n.applyPlacement(n.place.Release(n.now, b.Ref, 0))
 		return
 	}
 	r.booking = b
 	r.booked = true
-	if n.bookingRecalled(r) {
-		// The owner acted on an older generation than this host.
+	if n.bookingRecalled(r) || !n.conf.Ready() {
+		// The owner acted on an older generation than this host, or the host has
+		// been paused and does not know yet what is in force.
+		if r.phase == moving {
+			n.cancelBooking(r)
+		}
 		n.nextAttempt(r)
 		return
 	}
+	if r.phase == moving {
+		n.startImport(r)
+		return
+	}
 	r.phase = prefilling
 	n.emit(Prefill{
 		Ref:      r.ref(),
@@ -182,6 +199,10 @@
 // the pool can know of a recall before this host does. Otherwise the work goes
 // on: if the engine has dropped it meanwhile, its call fails and is resumed.
 func (n *Node) bookingLost(r *request, reason placement.Reason) {
+	if r.phase == moving {
+		n.attemptFailed(r, errNoMove, r.booking.Decode)
+		return
+	}
 	if reason == placement.ReasonRecalled {
 		n.recall(r)
 	}
@@ -204,25 +225,13 @@
 		return
 	}
 	r.started = true
-	n.applyPlacement(n.place.PrefillDone(n.now, r.ref()))
-	r.phase = importing
-	n.emit(Import{
-		Ref:      r.ref(),
-		Decode:   r.booking.Decode,
-		Source:   r.booking.Prefill,
-		Adapter:  r.adapter,
-		Checksum: e.Result.Checksum,
-		Bytes:    e.Result.Bytes,
-		Deadline: n.now.Add(n.importTimeout(e.Result)),
-	})
-}
-
-// importTimeout ends the transfer when the prefill engine drops the KV cache.
-func (n *Node) importTimeout(p engine.PrefillResult) time.Duration {
-	if p.Lifetime > 0 && p.Lifetime < n.cfg.ImportTimeout {
-		return p.Lifetime
+	if n.heldBack(r) {
+		return
 	}
-	return n.cfg.ImportTimeout
+	n.applyPlacement(n.place.PrefillDone(n.now, r.ref()))
+	r.kv = e.Result
+	r.kvUntil = n.now.Add(n.kvLifetime(e.Result.Lifetime))
+	n.startImport(r)
 }
 
 func (n *Node) importEnded(e ImportEnded) {
@@ -231,7 +240,12 @@
 		return
 	}
 	if e.Err != nil {
-		n.attemptFailed(r, e.Err, r.booking.Decode)
+		if !n.moveTransfer(r, e.Err) {
+			n.attemptFailed(r, e.Err, r.booking.Decode)
+		}
+		return
+	}
+	if n.heldBack(r) {
 		return
 	}
 	r.phase = decoding
@@ -318,6 +332,39 @@
 	n.nextAttempt(r)
 }
 
+// holdLimit bounds how long a request waits for the configuration to be confirmed
+// after a pause. Confirmation takes up to 2 s with one of peers and platform.
+const holdLimit = 5 * time.Second
+
+// heldBack gives up the engines of an attempt whose next step would begin before
+// the configuration is confirmed after a pause. The key may have been withdrawn or
+// the engines recalled meanwhile.
+func (n *Node) heldBack(r *request) bool {
+	if n.conf.Ready() {
+		return false
+	}
+	n.cancelBooking(r)
+	n.nextAttempt(r)
+	return true
+}
+
+// bookHeld goes on with the requests that a pause has held back.
+func (n *Node) bookHeld() {
+	if !n.holding {
+		return
+	}
+	n.holding = !n.conf.Ready()
+	for _, r := range n.sortedRequests() {
+		switch {
+		case r.heldAt.IsZero():
+		case n.conf.Ready():
+			n.book(r)
+		case n.now.Sub(r.heldAt) >= holdLimit:
+			n.fail(r, CodeNotReady, shuttingDownRetry, "the configuration was not confirmed after a pause of this host")
+		}
+	}
+}
+
 // maxBounces bounds how often a request is booked again because an engine was
 // full or leaving.
 const maxBounces = 8
@@ -328,6 +375,7 @@
 	n.applyPlacement(n.place.Release(n.now, r.ref(), r.delivered))
 	r.attempt++
 	r.recalling = false
+	r.moved = false
 	r.phase = booking
 	if len(n.versions(r.model)) == 0 {
 		n.fail(r, CodeRecalled, 0, "all versions of the model are recalled")
--- a/pkg/node/rules.go
+++ b/pkg/node/rules.go
@@ -12,6 +12,11 @@
 	"github.com/mulberrystream/mulberrystream/pkg/ruleset"
 )
 
+// readerTime is how long a host counts as a configuration reader after it last
+// read. A reader watches again at once, for 1.5 s at a time, so it stays one; a host
+// that has read once, such as at its start, soon is none.
+const readerTime = 5 * time.Second
+
 // hostsRetry is the pause after a failed read of the host list.
 const hostsRetry = time.Second
 
@@ -33,40 +38,39 @@
 		n.setRules(*r.Accepted)
 	}
 	if r.Read != nil {
-		n.reader = true
+		n.readAt = n.now
 		n.emit(ReadConfig{Read: *r.Read})
 	}
 }
 
-// validated holds what the latest valid text parsed to until it is put in force.
-// A second parse would block the reducer once more, for some 100 ms at the target
-// scale.
-type validated struct {
+// parsedRules keeps the rules that were parsed last. A generation is validated
+// right before it comes into force, and parsing a large one takes milliseconds.
+type parsedRules struct {
 	text  []byte
 	rules *ruleset.Rules
 }
 
-func (n *Node) validateRules(text []byte) error {
-	rules, err := ruleset.Parse(text)
-	if err == nil {
-		n.valid = validated{text: text, rules: rules}
-	}
+// validate returns why a text cannot come into force, or nil.
+func (p *parsedRules) validate(text []byte) error {
+	_, err := p.get(text)
 	return err
 }
 
-// parsed returns the rules of a text, those of its validation if it was the latest.
-func (n *Node) parsed(text []byte) (*ruleset.Rules, error) {
-	v := n.valid
-	n.valid = validated{}
-	if v.rules != nil && bytes.Equal(v.text, text) {
-		return v.rules, nil
+func (p *parsedRules) get(text []byte) (*ruleset.Rules, error) {
+	if p.rules != nil && bytes.Equal(p.text, text) {
+		return p.rules, nil
+	}
+	rules, err := ruleset.Parse(text)
+	if err != nil {
+		return nil, err
 	}
-	return ruleset.Parse(text)
+	p.text, p.rules = text, rules
+	return rules, nil
 }
 
 // setRules puts a generation in force and applies it to the work in hand.
 func (n *Node) setRules(g confsync.Generation) {
-	rules, err := n.parsed(g.Text)
+	rules, err := n.parsed.get(g.Text)
 	if err != nil {
 		n.alarm("ruleset", fmt.Sprintf("revision %d does not parse: %v", g.Revision, err))
 		return
