Switch off compression between entry hosts

Cause: a profile of an idle host showed gzip at every answer of a delivery: connect compresses the empty acknowledgement by default. Change: no compression on either side.

--- /dev/null
+++ b/pkg/peer/bench_test.go
@@ -0,0 +1,46 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+
+	"github.com/mulberrystream/mulberrystream/pkg/node"
+	"github.com/mulberrystream/mulberrystream/pkg/peer"
+)
+
+// drop takes batches and forgets them.
+type drop struct{}
+
+func (drop) Receive(node.Batch) {}
+
+// BenchmarkDeliver is one delivery over loopback in plain text, both ends together,
+// by the number of messages in the batch.
+func BenchmarkDeliver(b *testing.B) {
+	for _, messages := range []int{1, 8, 64} {
+		b.Run(fmt.Sprintf("messages=%d", messages), func(b *testing.B) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			s := peer.NewServer(drop{}, nil)
+			go func() { _ = s.Serve(ln) }()
+			defer func() { _ = s.Close() }()
+			c := peer.NewClient(nil)
+			defer c.Close()
+			batch := batch()
+			one := batch.Messages[0]
+			batch.Messages = batch.Messages[:0]
+			for range messages {
+				batch.Messages = append(batch.Messages, one)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := c.Deliver(context.Background(), ln.Addr().String(), batch); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -20,6 +20,11 @@
 // generation and one host list, which stays well below it at the target size.
 const maxMessageBytes = 8 << 20
 
+// gzipName is connect's default compression. It is switched off: nearly all
+// deliveries are some hundred bytes, and compressing their empty answers cost more
+// than encoding the batch.
+const gzipName = "gzip"
+
 // maxClients bounds the addresses remembered. A host talks to its domain and to
 // the delegates of the others.
 const maxClients = 1024
@@ -95,6 +100,7 @@
 		c.scheme+"://"+addr+procedure,
 		connect.WithCodec(codec{}),
 		connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithAcceptCompression(gzipName, nil, nil),
 	)
 	c.clients[addr] = cl
 	return cl
@@ -119,6 +125,7 @@
 	mux.Handle(procedure, connect.NewUnaryHandler(procedure, deliver,
 		connect.WithCodec(codec{}),
 		connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithCompression(gzipName, nil, nil),
 	))
 	protocols := new(http.Protocols)
 	protocols.SetHTTP2(true)
