Carry deliveries between hosts over HTTP/1.1

Cause: a delivery took 312 us over HTTP/2; the messages to one host follow one another, so nothing was multiplexed, and its pings cost a timer a connection. Change: HTTP/1.1 with kept-alive connections. A silent connection is closed by the timeout of the delivery on it and replaced, which a spec shows.

--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -29,14 +29,6 @@
 // the delegates of the others.
 const maxClients = 1024
 
-// Liveness of HTTP/2 connections: a connection that has been silent for
-// pingAfter is probed and dropped after pingTimeout, so that a connection that
-// lost its state on the way is replaced by a new one.
-const (
-	pingAfter   = time.Second
-	pingTimeout = time.Second
-)
-
 // Ack is the answer to a delivery. It says only that the batch arrived.
 type Ack struct{}
 
@@ -52,22 +44,16 @@
 // NewClient returns a client. A nil tlsConfig means plain text.
 func NewClient(tlsConfig *tls.Config) *Client {
 	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
 	scheme := "https"
 	if tlsConfig == nil {
 		scheme = "http"
-		protocols.SetUnencryptedHTTP2(true)
-	} else {
-		protocols.SetHTTP2(true)
 	}
 	transport := &http.Transport{
 		TLSClientConfig:     tlsConfig,
 		Protocols:           protocols,
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     time.Minute,
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout: pingAfter,
-			PingTimeout:     pingTimeout,
-		},
 	}
 	return &Client{
 		scheme:  scheme,
@@ -128,8 +114,7 @@
 		connect.WithCompression(gzipName, nil, nil),
 	))
 	protocols := new(http.Protocols)
-	protocols.SetHTTP2(true)
-	protocols.SetUnencryptedHTTP2(tlsConfig == nil)
+	protocols.SetHTTP1(true)
 	return &http.Server{
 		Handler:           mux,
 		TLSConfig:         tlsConfig,
