--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 ## test: format check, vet, lint, build and all tests under the race detector.
 test: fmt vet lint build
 	$(GO) test -race -timeout $(TIMEOUT) $(PKGS)
+	@test ! -f KNOWN-RED.txt || cat KNOWN-RED.txt
 
 fmt:
 	@bad=$$(gofmt -l $$(git ls-files '*.go')); \
