--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,11 @@
 PKGS ?= ./...
 TIMEOUT ?= 10m
 
-.PHONY: test build fmt vet lint demo soak bench docs-check
+.PHONY: test build fmt vet lint demo soak bench capacity known-red experiments docs-check
 
 ## test: format check, vet, lint, build and all tests under the race detector.
 test: fmt vet lint build
 	$(GO) test -race -timeout $(TIMEOUT) $(PKGS)
-	@test ! -f KNOWN-RED.txt || cat KNOWN-RED.txt
 
 fmt:
 	@bad=$$(gofmt -l $$(git ls-files '*.go')); \
@@ -29,6 +28,29 @@
 demo:
 	$(GO) run ./internal/demo
 
+SEED ?= 1
+RUNS ?= 40
+
+## soak: seeded runs under faults, a table of violations, and the command that
+## repeats each failure. SEED is the first seed, RUNS their number. FAULTS (names
+## joined by +) and DOMAINS fix what the seed would choose; no run starts after
+## MINUTES; SOAK_OUT is a directory for the records and logs of failed runs.
+soak:
+	SEED=$(SEED) RUNS=$(RUNS) FAULTS=$(FAULTS) DOMAINS=$(DOMAINS) MINUTES=$(MINUTES) SOAK_OUT=$(SOAK_OUT) \
+		$(GO) test -count=1 -timeout 2h -v ./internal/soak
+
+## capacity: measure what a host costs and rewrite the tables of docs/CAPACITY.md.
+capacity:
+	$(GO) run ./internal/capacity/report
+
+## known-red: the tests of KNOWN-RED.txt, whose verdict is ignored.
+known-red:
+	-KNOWN_RED=1 $(GO) test -count=1 -timeout $(TIMEOUT) -v -run '^TestKnownRed' ./internal/soak
+
+## experiments: run loads through real processes; results go to out/experiments.
+experiments:
+	$(GO) run ./internal/experiments
+
 ## docs-check: run the commands of docs/operators.md against a local fleet.
 docs-check:
 	DOCS_CHECK=1 $(GO) test -count 1 -timeout 5m ./internal/docscheck
--- /dev/null
+++ b/internal/soak/source.go
@@ -0,0 +1,124 @@
+package soak
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+
+	"github.com/mulberrystream/mulberrystream/internal/fleet"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+)
+
+// sources finds the entry host behind a loopback connection, which proxies need
+// for a partition: all processes have the same IP address.
+type sources struct {
+	mu     sync.Mutex
+	hosts  []*fleet.Host
+	owners map[uint32]ident.HostID // by inode of a socket
+}
+
+func (s *sources) set(hosts []*fleet.Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hosts = append([]*fleet.Host(nil), hosts...)
+	s.owners = nil
+}
+
+// find returns the id of the entry host whose socket is the client end of a
+// connection, or an empty string.
+func (s *sources) find(client net.Conn) string {
+	from, ok := client.RemoteAddr().(*net.TCPAddr)
+	to, ok2 := client.LocalAddr().(*net.TCPAddr)
+	if !ok || !ok2 {
+		return ""
+	}
+	inode, err := socketInode(from, to)
+	if err != nil || inode == 0 {
+		return "" // the client has closed the connection
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if id, ok := s.owners[inode]; ok {
+		return string(id)
+	}
+	s.owners = map[uint32]ident.HostID{}
+	for _, h := range s.hosts {
+		for _, n := range inodes(h.PID()) {
+			s.owners[n] = h.ID
+		}
+	}
+	return string(s.owners[inode])
+}
+
+// Values of the kernel's interface linux/inet_diag.h.
+const (
+	sockDiagFamily = 4  // NETLINK_SOCK_DIAG
+	sockDiagByName = 20 // SOCK_DIAG_BY_FAMILY
+	requestSize    = syscall.NLMSG_HDRLEN + 56
+	inodeOffset    = syscall.NLMSG_HDRLEN + 68
+)
+
+var errDiag = errors.New("soak: no answer about a socket")
+
+// socketInode asks the kernel for the inode of one connected socket. A search of
+// /proc/net/tcp reads all sockets of the machine for each connection, and a proxy
+// then falls behind the connections of a partition.
+func socketInode(local, remote *net.TCPAddr) (uint32, error) {
+	fd, err := syscall.Socket(syscall.AF_NETLINK, syscall.SOCK_RAW|syscall.SOCK_CLOEXEC, sockDiagFamily)
+	if err != nil {
+		return 0, fmt.Errorf("soak: netlink: %w", err)
+	}
+	defer func() { _ = syscall.Close(fd) }()
+	q := make([]byte, requestSize)
+	binary.NativeEndian.PutUint32(q[0:], requestSize)
+	binary.NativeEndian.PutUint16(q[4:], sockDiagByName)
+	binary.NativeEndian.PutUint16(q[6:], syscall.NLM_F_REQUEST)
+	q[16], q[17] = syscall.AF_INET, syscall.IPPROTO_TCP
+	binary.NativeEndian.PutUint32(q[20:], ^uint32(0)) // all states
+	binary.BigEndian.PutUint16(q[24:], uint16(local.Port))
+	binary.BigEndian.PutUint16(q[26:], uint16(remote.Port))
+	copy(q[28:], local.IP.To4())
+	copy(q[44:], remote.IP.To4())
+	for i := 64; i < 72; i++ {
+		q[i] = 0xff // no cookie
+	}
+	if err := syscall.Sendto(fd, q, 0, &syscall.SockaddrNetlink{Family: syscall.AF_NETLINK}); err != nil {
+		return 0, fmt.Errorf("soak: netlink: %w", err)
+	}
+	answer := make([]byte, 4096)
+	n, _, err := syscall.Recvfrom(fd, answer, 0)
+	if err != nil {
+		return 0, fmt.Errorf("soak: netlink: %w", err)
+	}
+	if n < inodeOffset+4 || binary.NativeEndian.Uint16(answer[4:]) != sockDiagByName {
+		return 0, errDiag
+	}
+	return binary.NativeEndian.Uint32(answer[inodeOffset:]), nil
+}
+
+// inodes lists the sockets that a process has open.
+func inodes(pid int) []uint32 {
+	dir := "/proc/" + strconv.Itoa(pid) + "/fd"
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil
+	}
+	var out []uint32
+	for _, e := range entries {
+		name, err := os.Readlink(dir + "/" + e.Name())
+		inode, ok := strings.CutPrefix(name, "socket:[")
+		if err != nil || !ok {
+			continue
+		}
+		if n, err := strconv.ParseUint(strings.TrimSuffix(inode, "]"), 10, 32); err == nil {
+			out = append(out, uint32(n))
+		}
+	}
+	return out
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -32,19 +32,24 @@
 	orders  map[placement.Pool]*poolOrders
 
 	rules    *ruleset.Rules // nil until the first generation is in force
+	parsed   parsedRules
 	revision ident.Revision
 	requests map[ident.RequestID]*request
+	moving   []ident.RequestID // requests in the phase moving
 
 	ready      bool
 	holding    bool // a request may wait for the end of a pause
 	superseded bool
 	drain      drainState
 	viewAt     time.Time
+	placeHosts []placement.HostView // last given to the placement
+	placeAt    time.Time
 	pollAt     time.Time
 	hostsAt    time.Time
 	ordersAt   time.Time
 	hostsBusy  bool
-	reader     bool // this host watches the platform
+	heard      bool      // every host of the domain that is not dead hears this one
+	readAt     time.Time // last read of the configuration from the platform
 	stats      Stats
 }
 
@@ -63,7 +68,6 @@
 		now:      now,
 		last:     now,
 		members:  membership.New(cfg.Membership, now),
-		conf:     confsync.New(cfg.ConfSync, now),
 		hosts:    hostlist.New(cfg.HostList, now),
 		limits:   limits.New(cfg.Limits, now),
 		place:    placement.New(cfg.Placement, now),
@@ -73,6 +77,8 @@
 		requests: map[ident.RequestID]*request{},
 		stats:    Stats{Refused: map[Code]uint64{}},
 	}
+	cfg.ConfSync.Validate = n.parsed.validate
+	n.conf = confsync.New(cfg.ConfSync, now)
 	n.place.Owned(n.owns)
 	return n
 }
@@ -153,6 +159,7 @@
 	n.applyLimits(n.limits.Tick(n.now))
 	n.applyPlacement(n.place.Tick(n.now))
 	n.applyOnce(n.once.Tick(n.now))
+	n.expireMoves()
 	n.refreshViewIfDue()
 	n.pollIfDue()
 	n.ordersIfDue()
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/mulberrystream/mulberrystream/pkg/confsync"
 	"github.com/mulberrystream/mulberrystream/pkg/hostlist"
@@ -92,10 +93,39 @@
 	v := n.members.View(n.now)
 	n.hosts.SetPeers(liveOf(v.Hosts))
 	n.applyLimits(n.limits.SetPeers(n.now, n.limitPeers(v)))
-	n.applyPlacement(n.place.SetHosts(n.now, n.placementHosts(v)))
+	n.setPlacementHosts(v)
 	n.place.SetFree(n.now, poolsFree(v))
 	n.applyConf(n.conf.SetPeers(n.now, confPeers(v)))
 	n.setSlots(v)
+	n.heard = allAcked(v.Hosts)
+}
+
+// allAcked reports whether every host of the domain that is not dead hears this
+// one. A host that does not may have taken over its pools.
+func allAcked(hosts []membership.Host) bool {
+	for _, h := range hosts {
+		if h.State != membership.Dead && !h.Acked {
+			return false
+		}
+	}
+	return true
+}
+
+// placeInterval is the time between two passes of an unchanged list of hosts to
+// the placement. Each ranks the hosts for every pool anew, which in a domain of 90
+// hosts is the largest part of a tick. Pools that a host keeps for an absent owner
+// are handed over at the next pass.
+const placeInterval = time.Second
+
+// setPlacementHosts passes the hosts to the placement when they have changed.
+func (n *Node) setPlacementHosts(v membership.View) {
+	hosts := n.placementHosts(v)
+	if slices.Equal(hosts, n.placeHosts) && n.now.Before(n.placeAt) {
+		return
+	}
+	n.placeHosts = hosts
+	n.placeAt = n.now.Add(placeInterval)
+	n.applyPlacement(n.place.SetHosts(n.now, hosts))
 }
 
 func usable(h membership.Host) bool {
@@ -185,7 +215,7 @@
 		}
 		for _, h := range d.Delegates {
 			// The digest comes with the delegate's own messages; see RevisionHeard.
-			out = append(out, confsync.Peer{Host: h, Remote: true})
+			out = append(out, confsync.Peer{Host: h, Remote: true, Revision: d.Revision, PlatformSilent: d.PlatformSilent})
 		}
 	}
 	return out
@@ -277,7 +307,8 @@
 // watchHostsIfDue watches the host list on configuration readers, and on a host
 // that has no list yet, since it may have no peer to ask.
 func (n *Node) watchHostsIfDue() {
-	wanted := n.reader || n.hosts.Version() == 0
+	reader := !n.readAt.IsZero() && n.now.Sub(n.readAt) < readerTime
+	wanted := reader || n.hosts.Version() == 0
 	if n.hostsBusy || !wanted || n.now.Before(n.hostsAt) {
 		return
 	}
