Resume an answer only on the version that began it

Cause: after a decode engine died in mid-stream the request was booked on any allowed version, so the rest of the answer could come from another one. Change: once a token was delivered, only the version that decodes the answer may go on; when it is no longer allowed the stream is broken visibly. Result: the first new spec fails before (another version was asked to prefill) and passes after; no figure.

--- a/pkg/node/completion.go
+++ b/pkg/node/completion.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mulberrystream/mulberrystream/pkg/engine"
@@ -107,13 +108,18 @@
 		return
 	}
 	r.heldAt = time.Time{}
+	versions := n.versionsFor(r)
+	if len(versions) == 0 {
+		n.fail(r, CodeRecalled, 0, "the version that began this answer is no longer allowed")
+		return
+	}
 	org, _ := n.rules.Organisation(r.org)
 	n.applyPlacement(n.place.Book(n.now, placement.Request{
 		Ref:          r.ref(),
 		Organisation: r.org,
 		Weight:       float64(org.Weight),
 		Model:        r.model,
-		Versions:     n.versions(r.model),
+		Versions:     versions,
 		Adapter:      r.adapter,
 		PromptTokens: r.promptTokens,
 		MaxTokens:    r.maxTokens,
@@ -126,6 +132,20 @@
 	r.avoid = ""
 }
 
+// versionsFor returns the versions that may serve a request. An answer that has
+// begun is resumed by the version that began it: another one would continue it
+// with different text.
+func (n *Node) versionsFor(r *request) []ident.Version {
+	versions := n.versions(r.model)
+	if r.delivered == 0 {
+		return versions
+	}
+	if !slices.Contains(versions, r.version) {
+		return nil
+	}
+	return []ident.Version{r.version}
+}
+
 func (n *Node) applyPlacement(p placement.Result) {
 	for _, e := range p.Envelopes {
 		n.send(e.To, Message{Placement: &e.Message})
@@ -249,6 +269,7 @@
 		return
 	}
 	r.phase = decoding
+	r.version = r.booking.Decode.Version
 	n.emit(Decode{
 		Ref:       r.ref(),
 		Engine:    r.booking.Decode,
--- a/pkg/node/golden_test.go
+++ b/pkg/node/golden_test.go
@@ -198,3 +198,29 @@
 		Expect(effects[node.Prefill](s)).To(HaveLen(1))
 	})
 })
+
+var _ = Describe("An answer that has begun", func() {
+	lost := &node.CallError{Step: "decode", Reason: "stream ended early"}
+
+	It("is not continued by another version, whose text would differ", func() {
+		s := newSession(prefill, decode, older, older2)
+		ref := s.toDecode()
+		s.step(node.DecodeEnded{Ref: ref, Delivered: 4, Err: lost})
+		Expect(effects[node.Prefill](s)).To(BeEmpty())
+		for range 3 {
+			s.advance(400 * time.Millisecond)
+			Expect(effects[node.Prefill](s)).To(BeEmpty())
+		}
+	})
+
+	It("moves to another version as long as the caller has no token", func() {
+		s := newSession(prefill, decode, older, older2)
+		s.arrive()
+		s.prefilled()
+		s.imported()
+		s.step(node.DecodeEnded{Ref: s.ref(), Err: lost})
+		again := effects[node.Prefill](s)
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].Engine.Version).To(Equal(older.Version))
+	})
+})
--- a/pkg/node/request.go
+++ b/pkg/node/request.go
@@ -52,10 +52,11 @@
 	booked       bool
 	booking      placement.Booking
 	kv           engine.PrefillResult
-	kvUntil      time.Time // end of the KV cache's lifetime at the prefill engine
-	moved        bool      // this attempt has changed its decode engine
-	delivered    int       // output tokens that the caller has
-	recalling    bool      // the stream is being stopped because of a recall
+	kvUntil      time.Time     // end of the KV cache's lifetime at the prefill engine
+	moved        bool          // this attempt has changed its decode engine
+	version      ident.Version // that decodes or has decoded the answer
+	delivered    int           // output tokens that the caller has
+	recalling    bool          // the stream is being stopped because of a recall
 
 	heldAt time.Time // since when a pause of the host holds the booking back; zero otherwise
 
