Count failures, not attempts, against the retries of a request

Cause: a recall or a pause books a request again under a new attempt number, which used up its two retries without a failure. Change: a counter of its own.

--- a/pkg/node/completion.go
+++ b/pkg/node/completion.go
@@ -345,10 +345,11 @@
 		return
 	}
 	r.exclude = append(r.exclude, at.ID)
-	if !n.budget.Allow(n.now, int(r.attempt)-1-r.bounced) {
+	if !n.budget.Allow(n.now, r.retries) {
 		n.fail(r, CodeBackendFailed, shuttingDownRetry, cause.Error()+" at "+string(at.ID))
 		return
 	}
+	r.retries++
 	n.stats.Retries++
 	n.nextAttempt(r)
 }
--- a/pkg/node/request.go
+++ b/pkg/node/request.go
@@ -38,6 +38,7 @@
 	phase   phase
 	attempt ident.Attempt
 	avoid   ident.BackendID   // was full a moment ago; not for the next attempt
+	retries int               // attempts after a failure; recalls, pauses and full engines do not count
 	bounced int               // attempts that an engine refused because it was full or leaving
 	exclude []ident.BackendID // failed in earlier attempts
 	// started is set once a backend server may have executed a part. From then on
