Bound unacknowledged data to callers, prove the probes of silent callers

Cause: keep-alive probes do not run while data is unacknowledged, and the stream writes a comment every two seconds, so a caller that vanished without a word would have been noticed only after the kernel's retransmissions, some 15 minutes. Change: TCP_USER_TIMEOUT of 5 s on callers' connections; the e2e specs report the time until engine memory is free.

--- a/internal/e2e/caller_test.go
+++ b/internal/e2e/caller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -31,9 +32,11 @@
 			result <- caller.Ask(ctx, f.Hosts[0].Caller, keyEverest, caller.Request{Model: "inspect-lm", Prompt: prompt, MaxTokens: 50, Stream: true}, nil)
 		}()
 		Eventually(held(f), fleet.WaitLimit).Should(BeNumerically(">", 0))
+		left := time.Now()
 		cancel()
 		Expect((<-result).Err).To(HaveOccurred())
 		Eventually(held(f), fleet.WaitLimit).Should(BeZero())
+		AddReportEntry("time to free in prefill", time.Since(left).String())
 		for _, r := range f.Deployment.Records() {
 			Expect(r.Kind).NotTo(Equal(record.Token), "the decode must not have begun")
 		}
@@ -44,13 +47,16 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		r := caller.Request{Model: "inspect-lm", Prompt: caller.Words("short", 100), MaxTokens: 5000, Stream: true}
+		var left time.Time
 		a := caller.Ask(ctx, f.Hosts[0].Caller, keyEverest, r, func(tokens int) {
 			if tokens > 3 {
+				left = time.Now()
 				cancel()
 			}
 		})
 		Expect(a.Complete).To(BeFalse())
 		Eventually(held(f), fleet.WaitLimit).Should(BeZero())
+		AddReportEntry("time to free in decode", time.Since(left).String())
 	})
 
 	DescribeTable("frees engine memory when the host that ran the request dies",
--- a/pkg/frontend/config.go
+++ b/pkg/frontend/config.go
@@ -35,6 +35,10 @@
 	ProbeIdle     time.Duration
 	ProbeInterval time.Duration
 	ProbeCount    int
+	// UnackedTimeout closes a connection whose other end has not acknowledged what
+	// was sent for so long. Probes do not run while data is unacknowledged, and the
+	// kernel would otherwise retransmit for a quarter of an hour.
+	UnackedTimeout time.Duration
 	// Concurrency bounds the connections served at once.
 	Concurrency int
 }
@@ -55,6 +59,7 @@
 		ProbeIdle:        2 * time.Second,
 		ProbeInterval:    time.Second,
 		ProbeCount:       3,
+		UnackedTimeout:   5 * time.Second,
 		Concurrency:      64 << 10,
 	}
 }
