--- a/pkg/driver/backends.go
+++ b/pkg/driver/backends.go
@@ -18,6 +18,7 @@
 	stepImport  = "import"
 	stepDecode  = "decode"
 	stepCall    = "call"
+	stepOrder   = "order"
 )
 
 type errGap struct{ want, got int }
@@ -261,7 +262,7 @@
 		Pool:       e.Pool,
 		ID:         e.ID,
 		StaleFence: errors.As(err, &refused) && refused.Code == engine.CodeStaleFence,
-		Err:        callError("order", err),
+		Err:        callError(stepOrder, err),
 	})
 }
 
--- a/pkg/frontend/models.go
+++ b/pkg/frontend/models.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/mulberrystream/mulberrystream/pkg/node"
 )
 
 type modelList struct {
@@ -41,7 +43,7 @@
 func writeJSON(ctx *fasthttp.RequestCtx, v any) {
 	body, err := json.Marshal(v)
 	if err != nil {
-		refuse(ctx, "internal_failure", "the answer could not be encoded")
+		refuse(ctx, node.CodeInternalFailure, "the answer could not be encoded")
 		return
 	}
 	ctx.SetContentType("application/json")
