Release the contexts of a call when it ends

Cause: found in the read-through. The context of an attempt was cancelled only by a stop, the next step or the end of a decode; for plain services it stayed registered with the driver's context, one for each call, for the life of the process.

--- a/pkg/driver/backends.go
+++ b/pkg/driver/backends.go
@@ -249,11 +249,6 @@
 	d.post(node.EngineCacheChanged{ID: info.ID, Events: events})
 }
 
-// shortly returns a context for one short call.
-func (d *Driver) shortly(wait time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(d.ctx, wait+d.cfg.ReadSlack)
-}
-
 // order sends an order, once and only before its deadline.
 func (d *Driver) order(e node.SendOrder) {
 	err := d.runOrder(e)
--- a/pkg/driver/driver_test.go
+++ b/pkg/driver/driver_test.go
@@ -175,6 +175,14 @@
 		Expect(c.End().Refusal).To(BeNil())
 	})
 
+	It("leaves no context behind when it has ended, since the driver's own lives on", func() {
+		d, c := newDriver(&countingEngine{})
+		ctx := c.attemptContext(d.ctx, 1)
+		Expect(ctx.Err()).NotTo(HaveOccurred())
+		d.end(c.id, End{Complete: true})
+		Expect(ctx.Err()).To(HaveOccurred())
+	})
+
 	It("says not run only when the backend server surely did not start", func() {
 		notRun := &engine.Error{Step: "prefill", Code: engine.CodeConnect, NotRun: true}
 		Expect(callError(stepPrefill, notRun).NotRun).To(BeTrue())
--- a/pkg/driver/effects.go
+++ b/pkg/driver/effects.go
@@ -100,6 +100,9 @@
 	}
 	d.forget(c)
 	c.finishWith(e)
+	// The contexts of ended attempts stay with their parent until they are
+	// cancelled.
+	c.stopAll()
 }
 
 // expired reports whether an effect must no longer be carried out.
--- a/pkg/driver/platform.go
+++ b/pkg/driver/platform.go
@@ -36,7 +36,7 @@
 }
 
 func (d *Driver) readHosts(e node.ReadHosts) {
-	ctx, cancel := d.shortly(e.Wait)
+	ctx, cancel := context.WithTimeout(d.ctx, e.Wait+d.cfg.ReadSlack)
 	defer cancel()
 	list, notChanged, err := d.platform.ReadHosts(ctx, e.After, e.Wait)
 	read := node.HostsRead{List: list, NotChanged: notChanged}
