soak: lookups of a connection's process share one search

Cause: in a partition the proxies look up the process behind each new connection. Every lookup of an unknown socket searched the sockets of all hosts anew, one after the other, including lookups that had only waited for such a search.

Ruled out: the product's deadlines.

Conclusion: a fault of the test bench, not of the product.

--- a/internal/soak/known_red_test.go
+++ b/internal/soak/known_red_test.go
@@ -16,9 +16,7 @@
 	seed    uint64
 	faults  string
 	domains int
-}{
-	{seed: 1011, faults: "domain-partition", domains: 4},
-}
+}{}
 
 // isKnownRed tells whether a run is one of them.
 func isKnownRed(s soak.Spec) bool {
@@ -36,6 +34,9 @@
 	if os.Getenv("KNOWN_RED") != "1" {
 		t.Skip("KNOWN_RED is not 1; see make known-red")
 	}
+	if len(knownRed) == 0 {
+		t.Skip("no run is known to fail")
+	}
 	g := gomega.NewWithT(t)
 	rules, err := os.ReadFile("../../examples/bagmati.rules")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/soak/source.go
+++ b/internal/soak/source.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/mulberrystream/mulberrystream/internal/fleet"
@@ -18,6 +19,7 @@
 // sources finds the entry host behind a loopback connection, which proxies need
 // for a partition: all processes have the same IP address.
 type sources struct {
+	begun  atomic.Uint64 // searches begun
 	mu     sync.Mutex
 	hosts  []*fleet.Host
 	owners map[uint32]ident.HostID // by inode of a socket
@@ -42,18 +44,27 @@
 	if err != nil || inode == 0 {
 		return "" // the client has closed the connection
 	}
+	return string(s.owner(inode, s.begun.Load()))
+}
+
+// owner returns the entry host with a socket. before is the number of searches that
+// had begun when the socket was known to exist. A search that began later would have
+// found it, so lookups that waited for one do not repeat it: in a partition of a busy
+// machine each connection would otherwise wait for the searches of all earlier ones.
+func (s *sources) owner(inode uint32, before uint64) ident.HostID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if id, ok := s.owners[inode]; ok {
-		return string(id)
+	if id, ok := s.owners[inode]; ok || s.owners != nil && s.begun.Load() > before {
+		return id
 	}
+	s.begun.Add(1)
 	s.owners = map[uint32]ident.HostID{}
 	for _, h := range s.hosts {
 		for _, n := range inodes(h.PID()) {
 			s.owners[n] = h.ID
 		}
 	}
-	return string(s.owners[inode])
+	return s.owners[inode]
 }
 
 // Values of the kernel's interface linux/inet_diag.h.
--- a/internal/soak/source_test.go
+++ b/internal/soak/source_test.go
@@ -23,3 +23,18 @@
 	g.Expect(inode).NotTo(gomega.BeZero())
 	g.Expect(inodes(os.Getpid())).To(gomega.ContainElement(inode))
 }
+
+// Guards against a search through all sockets for each connection of a partition,
+// which held new connections back for minutes on a busy machine.
+func TestLookupsThatWaitedShareOneSearch(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var s sources
+	before := s.begun.Load()
+	for inode := range uint32(20) {
+		g.Expect(s.owner(inode+1, before)).To(gomega.BeEmpty())
+	}
+	g.Expect(s.begun.Load()).To(gomega.Equal(before+1), "one search for those that waited")
+
+	g.Expect(s.owner(50, s.begun.Load())).To(gomega.BeEmpty())
+	g.Expect(s.begun.Load()).To(gomega.Equal(before+2), "a newer socket needs a new search")
+}
