backends: expect the requests that other hosts have placed unseen

Cause: each host took the server with the least load it knew of, the first by id among equals. With 85 hosts the news of load is up to 1.06 s old, so all hosts chose the same servers until the next beats.

Ruled out: capacity (the plain service needs 40 % of its slots), limits (their 429s are counted apart and stay the same).

Change: the unseen requests (own rate x heard hosts x half the interval of beats) are assumed to fill the emptiest servers to one level; a server is picked with the probability that brings it there (Basic LI, Dahlin 2000). Equals are picked at random. The wait for prefill engines is read apart from the choice of one, which no longer marks an engine as tried when only its wait is asked for.

--- a/pkg/backends/directory.go
+++ b/pkg/backends/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -16,6 +17,8 @@
 	byServ  map[ident.Route][]*server // sorted by id
 	peers   map[ident.HostID]map[ident.BackendID]Load
 	reading map[ident.Route]*line // time of prefills by their tokens
+	rng     *rand.Rand
+	found   []candidate // buffer
 }
 
 type server struct {
@@ -45,6 +48,7 @@
 		byServ:  map[ident.Route][]*server{},
 		peers:   map[ident.HostID]map[ident.BackendID]Load{},
 		reading: map[ident.Route]*line{},
+		rng:     rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
 }
 
--- a/pkg/backends/pick.go
+++ b/pkg/backends/pick.go
@@ -20,6 +20,9 @@
 	// Memory is the KV cache of a server in tokens, and Slots its requests.
 	Memory int64
 	Slots  int
+	// Unseen is the number of requests like this one that other hosts are expected to
+	// have placed since their last news of load.
+	Unseen float64
 }
 
 const (
@@ -47,10 +50,10 @@
 	return !slices.Contains(q.Avoid, s.ID)
 }
 
-// PickDecode returns the engine with the most room for a request, or false if no
-// engine has room now.
+// PickDecode returns an engine with much room for a request, or false if no engine has
+// room now.
 func (d *Directory) PickDecode(now time.Time, q Query) (Target, bool) {
-	return d.best(now, q.Service, func(s *server) (float64, bool) {
+	all := d.candidates(q.Service, func(s *server) (float64, bool) {
 		if !s.fits(now, q) || now.Sub(s.fullAt) < fullPause && !s.fullAt.IsZero() {
 			return 0, false
 		}
@@ -60,43 +63,66 @@
 		}
 		return float64(l.Memory)/float64(q.Memory) + d.penalty(now, s, q), true
 	})
+	return d.pick(now, all, q.Unseen*float64(q.Need.Memory)/float64(q.Memory))
 }
 
-// PickPrefill returns the engine that would have read a prompt first, and its
-// expected time.
+// PickPrefill returns an engine that would read a prompt soon, and its expected time.
 func (d *Directory) PickPrefill(now time.Time, q Query) (Target, time.Duration, bool) {
-	var wait time.Duration
-	expect := func(s *server) float64 {
-		return float64(s.load().Prompt+q.Need.Prompt) / s.prefillRate()
-	}
-	t, ok := d.best(now, q.Service, func(s *server) (float64, bool) {
-		if !s.fits(now, q) {
+	all := d.candidates(q.Service, func(s *server) (float64, bool) {
+		if !d.mayRead(now, s, q) {
 			return 0, false
 		}
-		if l := s.load(); q.Memory > 0 && l.Memory+q.Need.Memory > q.Memory {
-			return 0, false
-		}
-		return expect(s) + d.penalty(now, s, q)/10, true
+		return s.readTime(q) + d.penalty(now, s, q)/10, true
 	})
-	if ok {
-		wait = time.Duration(expect(d.servers[t.ID]) * float64(time.Second))
+	t, ok := d.pick(now, all, q.Unseen*float64(q.Need.Prompt)/d.PrefillRate(q.Service))
+	if !ok {
+		return t, 0, false
+	}
+	return t, seconds(d.servers[t.ID].readTime(q)), true
+}
+
+// PrefillTime returns how soon a prompt could be read by any engine.
+func (d *Directory) PrefillTime(now time.Time, q Query) (time.Duration, bool) {
+	least, ok := 0.0, false
+	for _, s := range d.byServ[q.Service] {
+		if t := s.readTime(q); d.mayRead(now, s, q) && (!ok || t < least) {
+			least, ok = t, true
+		}
 	}
-	return t, wait, ok
+	return seconds(least), ok
 }
 
-// PickPlain returns the plain server that would answer first.
+// mayRead reports whether a server may get a prompt to read.
+func (d *Directory) mayRead(now time.Time, s *server, q Query) bool {
+	return s.fits(now, q) && (q.Memory == 0 || s.load().Memory+q.Need.Memory <= q.Memory)
+}
+
+// readTime returns the seconds until a server would have read a prompt.
+func (s *server) readTime(q Query) float64 {
+	return float64(s.load().Prompt+q.Need.Prompt) / s.prefillRate()
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// PickPlain returns a plain server that would answer soon.
 func (d *Directory) PickPlain(now time.Time, q Query) (Target, bool) {
-	return d.best(now, q.Service, func(s *server) (float64, bool) {
+	slots := 0
+	all := d.candidates(q.Service, func(s *server) (float64, bool) {
 		if !s.fits(now, q) {
 			return 0, false
 		}
-		slots := max(1, s.Slots)
+		n := max(1, s.Slots)
 		l := s.load()
-		if l.Requests >= slots*(1+queueLimit) {
+		if l.Requests >= n*(1+queueLimit) {
 			return 0, false
 		}
-		return float64(l.Requests)/float64(slots) + d.penalty(now, s, q), true
+		slots += n
+		return float64(l.Requests)/float64(n) + d.penalty(now, s, q), true
 	})
+	if len(all) == 0 {
+		return Target{}, false
+	}
+	return d.pick(now, all, q.Unseen*float64(len(all))/float64(slots))
 }
 
 func (d *Directory) penalty(now time.Time, s *server, q Query) float64 {
@@ -107,23 +133,28 @@
 	return p
 }
 
-// best returns the server with the lowest cost. A server that was suspended is
-// marked as being tried.
-func (d *Directory) best(now time.Time, service ident.Route, cost func(*server) (float64, bool)) (Target, bool) {
-	var found *server
-	least := 0.0
+// candidates returns the servers of a service that may get a request.
+func (d *Directory) candidates(service ident.Route, cost func(*server) (float64, bool)) []candidate {
+	d.found = d.found[:0]
 	for _, s := range d.byServ[service] {
-		if c, ok := cost(s); ok && (found == nil || c < least) {
-			found, least = s, c
+		if c, ok := cost(s); ok {
+			d.found = append(d.found, candidate{s, c})
 		}
 	}
-	if found == nil {
+	return d.found
+}
+
+// pick chooses one of the candidates. A server that was suspended is marked as being
+// tried.
+func (d *Directory) pick(now time.Time, all []candidate, unseen float64) (Target, bool) {
+	c, ok := spread(d.rng, all, unseen)
+	if !ok {
 		return Target{}, false
 	}
-	if found.trust.pause > 0 {
-		found.trust.probing = now.Add(d.cfg.ProbeTime)
+	if c.trust.pause > 0 {
+		c.trust.probing = now.Add(d.cfg.ProbeTime)
 	}
-	return found.target(), true
+	return c.target(), true
 }
 
 // PickSwitch returns the server that should change its stage: from the failure domain
@@ -137,13 +168,14 @@
 		}
 	}
 	q := Query{Service: service, Stage: from}
-	return d.best(now, service, func(s *server) (float64, bool) {
+	all := d.candidates(service, func(s *server) (float64, bool) {
 		if !s.fits(now, q) || inDomain[s.Domain] < 2 {
 			return 0, false
 		}
 		l := s.load()
 		return float64(l.Requests) - switchDomainWeight*float64(inDomain[s.Domain]), true
 	})
+	return d.pick(now, all, 0)
 }
 
 // switchDomainWeight is the number of requests that a server may have more than
--- a/pkg/backends/types.go
+++ b/pkg/backends/types.go
@@ -73,6 +73,9 @@
 // Config holds the settings of a Directory.
 type Config struct {
 	Domain ident.FailureDomain // of this host
+	// Seed decides between servers that are equally good. Hosts of a fleet need
+	// different ones, or they choose the same server at the same time.
+	Seed uint64
 	// SuspendFirst is the pause after the first unreachable attempt; it doubles up
 	// to SuspendMax. Longer ones spare requests and use a returned server later.
 	SuspendFirst time.Duration
--- a/pkg/relay/admit.go
+++ b/pkg/relay/admit.go
@@ -23,6 +23,7 @@
 	}
 	r.requests[q.id] = q
 	r.budget(q.service.Name).First(r.now)
+	r.admitted(q.service.Name).add(r.now, 1)
 	if q.service.Engine == nil {
 		r.call(q)
 		return
--- a/pkg/relay/config.go
+++ b/pkg/relay/config.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"fmt"
+	"hash/fnv"
 	"time"
 
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
@@ -47,10 +49,12 @@
 
 // DefaultConfig returns the settings for a fleet with these bounds.
 func DefaultConfig(self roster.Host, seeds []string) Config {
+	servers := backends.DefaultConfig(self.Domain)
+	servers.Seed = seedOf(self)
 	return Config{
 		Roster:      roster.DefaultConfig(self, seeds),
 		Quota:       quota.DefaultConfig(),
-		Backends:    backends.DefaultConfig(self.Domain),
+		Backends:    servers,
 		StaleAfter:  4 * time.Second,
 		ApplyWithin: 2 * time.Second,
 		RetryRatio:  0.2,
@@ -62,6 +66,13 @@
 	}
 }
 
+// seedOf returns a number that differs between hosts and between their processes.
+func seedOf(h roster.Host) uint64 {
+	sum := fnv.New64a()
+	_, _ = fmt.Fprint(sum, h.ID, h.Incarnation) // a hash accepts all bytes
+	return sum.Sum64()
+}
+
 const (
 	// retryMargin is the part of the fleet's retry budget that hosts use. The rest
 	// covers that hosts see different windows.
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -12,6 +12,7 @@
 		Stage:   backends.Plain,
 		Avoid:   q.avoid,
 		Near:    r.cfg.Backends.Domain,
+		Unseen:  r.unseen(q.service.Name),
 	})
 	if !ok && len(q.avoid) > 0 {
 		q.avoid = nil
--- a/pkg/relay/rate.go
+++ b/pkg/relay/rate.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
 )
 
 // rate is a decaying average of an amount per second.
@@ -31,3 +33,21 @@
 	a.decay(now)
 	return a.perSecond
 }
+
+// admitted returns the rate of the requests for a service that this host has accepted.
+func (r *Relay) admitted(service ident.Route) *rate {
+	a := r.rates[service]
+	if a == nil {
+		a = &rate{}
+		r.rates[service] = a
+	}
+	return a
+}
+
+// unseen returns the number of requests for a service that other hosts are expected to
+// have placed since their last beats: on average half an interval's. The load balancer
+// gives all hosts about the same.
+func (r *Relay) unseen(service ident.Route) float64 {
+	others := float64(len(r.roster.Heard(r.now)))
+	return r.admitted(service).value(r.now) * others * r.roster.Interval().Seconds() / 2
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -26,6 +26,7 @@
 	budgets  map[ident.Route]*retry.Budget
 	queues   map[ident.Route]*queue
 	requests map[ID]*request
+	rates    map[ident.Route]*rate // of accepted requests
 
 	conf  *catalog.Snapshot
 	proof time.Time // the configuration is at least as new as this
@@ -68,6 +69,7 @@
 		budgets:  map[ident.Route]*retry.Budget{},
 		queues:   map[ident.Route]*queue{},
 		requests: map[ID]*request{},
+		rates:    map[ident.Route]*rate{},
 
 		peerProofs: map[ident.HostID]time.Time{},
 
--- a/pkg/relay/staged.go
+++ b/pkg/relay/staged.go
@@ -91,7 +91,7 @@
 // read soon.
 func (r *Relay) start(q *request) bool {
 	e := q.service.Engine
-	if _, wait, ok := r.pickPrefill(q); ok && wait > prefillWaitMost+r.readTime(q) {
+	if wait, ok := r.backends.PrefillTime(r.now, r.prefillQuery(q)); ok && wait > prefillWaitMost+r.readTime(q) {
 		q.waitsFor = "prefill engine"
 		return false
 	}
@@ -105,6 +105,7 @@
 		Need:    need,
 		Memory:  e.MemoryTokens,
 		Slots:   e.Slots,
+		Unseen:  r.unseen(q.service.Name),
 	})
 	if !ok {
 		q.waitsFor = "decode memory"
@@ -143,12 +144,12 @@
 	r.enqueue(q)
 }
 
-func (r *Relay) pickPrefill(q *request) (backends.Target, time.Duration, bool) {
+func (r *Relay) prefillQuery(q *request) backends.Query {
 	near := q.to.Domain
 	if near == "" {
 		near = r.cfg.Backends.Domain
 	}
-	return r.backends.PickPrefill(r.now, backends.Query{
+	return backends.Query{
 		Service: q.service.Name,
 		Stage:   backends.Prefill,
 		Model:   q.ask.Model,
@@ -156,7 +157,8 @@
 		Near:    near,
 		Need:    backends.Load{Requests: 1, Memory: q.ask.Prompt, Prompt: q.ask.Prompt},
 		Memory:  q.service.Engine.MemoryTokens,
-	})
+		Unseen:  r.unseen(q.service.Name),
+	}
 }
 
 // readTime is about how long an engine takes for a prompt alone.
@@ -171,7 +173,7 @@
 // prefillOrDecode has the prompt read, by the decode engine itself if there is no
 // prefill engine.
 func (r *Relay) prefillOrDecode(q *request) {
-	to, wait, ok := r.pickPrefill(q)
+	to, wait, ok := r.backends.PickPrefill(r.now, r.prefillQuery(q))
 	if !ok {
 		q.local = true
 		r.decode(q)
