follow: longer pauses while the store is away, and a hint from other hosts

Cause: after a failed read every host read again after 150 ms on average.

Ruled out: batching of changes.

Change: the pause doubles with each failure up to 900 ms. A host that hears of a configuration newer than its first failure reads at once, once in each outage, so the return is noticed as early as before.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -64,8 +64,11 @@
 	// Slack is how long a call may take beyond Wait. A shorter one finds silent
 	// connections sooner and takes a slow store for an absent one.
 	Slack time.Duration
-	// Retry is the mean pause after a failed call.
-	Retry time.Duration
+	// Retry is the mean pause after a failed call. It doubles with each further failure
+	// up to RetryMost: a store that is away is not called by the whole fleet all the
+	// time, and its return is noticed later by as much unless Hurry is called.
+	Retry     time.Duration
+	RetryMost time.Duration
 	// Batch is the least time between two calls, so that changes that follow each other
 	// closely come together. A longer one costs fewer calls and delays changes.
 	Batch time.Duration
@@ -76,10 +79,11 @@
 // seconds).
 func DefaultConfig() Config {
 	return Config{
-		Wait:  1200 * time.Millisecond,
-		Slack: 800 * time.Millisecond,
-		Retry: 150 * time.Millisecond,
-		Batch: 120 * time.Millisecond,
+		Wait:      1200 * time.Millisecond,
+		Slack:     800 * time.Millisecond,
+		Retry:     150 * time.Millisecond,
+		RetryMost: 900 * time.Millisecond,
+		Batch:     120 * time.Millisecond,
 	}
 }
 
@@ -91,14 +95,23 @@
 	prefix string
 	now    func() time.Time
 
+	hurry    chan struct{}
 	listed   bool
 	revision uint64
-	failed   bool
+	failures int // in a row
 }
 
 // New returns a follower. now is the clock of Contact.
 func New(cfg Config, src Source, sink Sink, prefix string, now func() time.Time) *Follower {
-	return &Follower{cfg: cfg, src: src, sink: sink, prefix: prefix, now: now}
+	return &Follower{cfg: cfg, src: src, sink: sink, prefix: prefix, now: now, hurry: make(chan struct{}, 1)}
+}
+
+// Hurry ends the pause after a failed call. It may be called from any goroutine.
+func (f *Follower) Hurry() {
+	select {
+	case f.hurry <- struct{}{}:
+	default:
+	}
 }
 
 // Run follows until ctx ends.
@@ -106,28 +119,40 @@
 	for ctx.Err() == nil {
 		begun := f.now()
 		err := f.step(ctx)
-		f.failed = err != nil
 		if err == nil || ctx.Err() != nil {
-			sleep(ctx, f.cfg.Batch-f.now().Sub(begun))
+			f.failures = 0
+			sleep(ctx, f.cfg.Batch-f.now().Sub(begun), nil)
 			continue
 		}
+		f.failures++
 		f.sink.Failed(err)
 		if errors.Is(err, ErrCompacted) {
 			f.listed = false
 			continue
 		}
-		// Spread, so that hosts that lost the store together do not return together.
-		sleep(ctx, f.cfg.Retry/2+rand.N(f.cfg.Retry))
+		sleep(ctx, f.pause(), f.hurry)
 	}
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+// pause returns the time until the next call after failures. It is spread, so that
+// hosts that lost the store together do not return together.
+func (f *Follower) pause() time.Duration {
+	mean := f.cfg.Retry
+	for n := 1; n < f.failures && mean < f.cfg.RetryMost; n++ {
+		mean = min(2*mean, f.cfg.RetryMost)
+	}
+	return mean/2 + rand.N(mean)
+}
+
+// sleep returns after a time, or when ctx ends or something arrives at wake.
+func sleep(ctx context.Context, d time.Duration, wake <-chan struct{}) {
 	if d <= 0 {
 		return
 	}
 	select {
 	case <-ctx.Done():
+	case <-wake:
 	case <-time.After(d):
 	}
 }
@@ -179,7 +204,7 @@
 
 func (f *Follower) wait(ctx context.Context) error {
 	wait := f.cfg.Wait
-	if f.failed {
+	if f.failures > 0 {
 		// The first call after a failure only asks for what was missed.
 		wait = 0
 	}
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -208,3 +209,54 @@
 		Expect(src.seen()[2].after).To(Equal(uint64(5)))
 	})
 })
+
+// away is a source that never answers, and counts the calls.
+type away struct{ calls int }
+
+func (a *away) List(context.Context, string, string) (follow.Page, error) {
+	a.calls++
+	return follow.Page{}, errors.New("away")
+}
+
+func (a *away) Wait(context.Context, string, uint64, time.Duration) (follow.Page, error) {
+	a.calls++
+	return follow.Page{}, errors.New("away")
+}
+
+// Guards against a fleet that calls a store without pause while it is away: at most one
+// call in half of the longest pause once the pauses have grown.
+func TestPausesGrowWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		src := &away{}
+		cfg := follow.DefaultConfig()
+		const outage = 9 * time.Second
+		ctx, cancel := context.WithTimeout(t.Context(), outage)
+		defer cancel()
+		g.Expect(follow.New(cfg, src, &notes{}, "", time.Now).Run(ctx)).To(Succeed())
+		growing := 3 // calls with shorter pauses
+		g.Expect(src.calls).To(BeNumerically("<=", growing+int(outage/(cfg.RetryMost/2))))
+		g.Expect(src.calls).To(BeNumerically(">=", int(outage/(2*cfg.RetryMost))))
+	})
+}
+
+// Guards against a host that stays without the store although another one has told it
+// that the store is back.
+func TestHurryEndsThePause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		src := &away{}
+		cfg := follow.DefaultConfig()
+		cfg.Retry, cfg.RetryMost = time.Hour, time.Hour
+		ctx, cancel := context.WithCancel(t.Context())
+		f := follow.New(cfg, src, &notes{}, "", time.Now)
+		go func() { _ = f.Run(ctx) }()
+		synctest.Wait()
+		g.Expect(src.calls).To(Equal(1))
+		f.Hurry()
+		synctest.Wait()
+		g.Expect(src.calls).To(Equal(2))
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/pkg/relay/effect.go
+++ b/pkg/relay/effect.go
@@ -108,6 +108,10 @@
 	Fence uint64
 }
 
+// ReadAgain asks for a read of the platform now instead of after the pause that follows
+// failed reads.
+type ReadAgain struct{}
+
 // Exit says that nothing is left to do after Drain.
 type Exit struct{}
 
@@ -122,4 +126,5 @@
 func (FreePrefill) effect() {}
 func (Send) effect()        {}
 func (Order) effect()       {}
+func (ReadAgain) effect()   {}
 func (Exit) effect()        {}
--- a/pkg/relay/platform.go
+++ b/pkg/relay/platform.go
@@ -31,6 +31,7 @@
 		r.backAt = r.now
 	}
 	r.failedAt = time.Time{}
+	r.readAgain = false
 }
 
 func (r *Relay) contactFailed() {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -37,6 +37,7 @@
 	revision    uint64    // of the platform's store
 	listed      bool      // the backend servers have been listed
 	failedAt    time.Time // first failed read since the last successful one
+	readAgain   bool      // asked for since failedAt, because another host could read
 	backAt      time.Time // last return of the platform
 
 	silentDomains []ident.FailureDomain
@@ -229,6 +230,11 @@
 	if proof.After(r.peerProof) {
 		r.peerProof = proof
 	}
+	if !r.connected() && !r.readAgain && proof.After(r.failedAt) {
+		// Once for each outage: the platform may turn only this host away.
+		r.readAgain = true
+		r.emit(ReadAgain{})
+	}
 	r.quota.Heard(r.now, from.ID, from.Incarnation, m.Used)
 	loads := make(map[ident.BackendID]backends.Load, len(m.Load))
 	for _, l := range m.Load {
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -213,6 +213,31 @@
 		expect[relay.Call](h)
 	})
 
+	It("reads again at once, and once in an outage, when another host has read the platform", func() {
+		h := newHost().ready()
+		beat := func(age int64) {
+			h.last++
+			h.step(relay.Heard{Message: relay.Message{
+				Beat:  roster.Beat{From: roster.Host{ID: "peer", Incarnation: 1, Addr: "peer"}, Sequence: uint64(h.last)},
+				AgeMS: age,
+			}})
+		}
+		h.step(relay.ContactFailed{})
+		h.wait(time.Second)
+		beat(1500)
+		expectNone[relay.ReadAgain](h)
+		beat(100)
+		expect[relay.ReadAgain](h)
+		h.step(relay.ContactFailed{})
+		beat(100)
+		expectNone[relay.ReadAgain](h)
+		h.contact()
+		h.step(relay.ContactFailed{})
+		h.wait(time.Second)
+		beat(100)
+		expect[relay.ReadAgain](h)
+	})
+
 	It("sends callers to other hosts before it has to refuse them, if only it cannot read the platform", func() {
 		h := newHost().ready()
 		beat := func(age int64) {
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -51,17 +51,18 @@
 
 // Host is a running host.
 type Host struct {
-	cfg     Config
-	ctx     context.Context
-	log     *zap.Logger
-	core    *core
-	dialect Dialect
-	decoder Decoder
-	clients *clients
-	beats   *beats
-	mirror  *follow.Mirror
-	metrics *meters
-	seeds   []string // in force
+	cfg      Config
+	ctx      context.Context
+	log      *zap.Logger
+	core     *core
+	dialect  Dialect
+	decoder  Decoder
+	clients  *clients
+	beats    *beats
+	mirror   *follow.Mirror
+	follower *follow.Follower
+	metrics  *meters
+	seeds    []string // in force
 }
 
 // memoryShare is the part of the allowed memory that the runtime aims for. The rest
@@ -89,6 +90,8 @@
 	h.beats = b
 	h.mirror = follow.NewMirror(&storeSink{host: h}, boottime.Now)
 	h.core = newCore(relay.New(cfg.Relay, boottime.Now()), h.log, h.metrics, h.outside)
+	source := newSharedSource(h.core, cfg.Source, h.log)
+	h.follower = follow.New(cfg.Follow, source, h.mirror, cfg.Prefix, boottime.Now)
 	return h, nil
 }
 
@@ -116,10 +119,7 @@
 	g.Go(func() error {
 		return h.beats.receive(func(m relay.Message) { h.core.step(relay.Heard{Message: m}) })
 	})
-	g.Go(func() error {
-		source := newSharedSource(h.core, h.cfg.Source, h.log)
-		return follow.New(h.cfg.Follow, source, h.mirror, h.cfg.Prefix, boottime.Now).Run(ctx)
-	})
+	g.Go(func() error { return h.follower.Run(ctx) })
 	g.Go(func() error {
 		defer cancel()
 		h.untilStopped(ctx, signals, servers[0])
@@ -288,6 +288,8 @@
 		h.send(e.To, func(req *fasthttp.Request) { h.dialect.FreePrefill(req, e.Handle) }, ignore)
 	case relay.Order:
 		h.order(e)
+	case relay.ReadAgain:
+		h.follower.Hurry()
 	default:
 		h.log.Error("relayhost: effect not known", zap.String("type", fmt.Sprintf("%T", e)))
 	}
