backends: hosts tell each other which servers they cannot reach

Cause: a host suspends a server after a request of its own was lost there.

Ruled out: time limits of prefills (no prefill ended by its deadline); health probes (health answers lie in this trouble, and cost).

Change: beats name the servers that the sender could not reach in the last 2 s and that have not answered it since; the first finding of one goes out at once. The others take such a server only when all others are full, until it has answered them. It is not suspended, because a host with a broken network may doubt all servers.

--- a/pkg/backends/directory.go
+++ b/pkg/backends/directory.go
@@ -19,6 +19,7 @@
 	reading map[ident.Route]*line // time of prefills by their tokens
 	rng     *rand.Rand
 	found   []candidate // buffer
+	urgent  bool        // see Urgent
 }
 
 type server struct {
--- a/pkg/backends/pick.go
+++ b/pkg/backends/pick.go
@@ -130,6 +130,9 @@
 	if q.Near != "" && s.Domain != q.Near {
 		p += farPenalty
 	}
+	if s.trust.doubted(now) {
+		p += doubtPenalty
+	}
 	return p
 }
 
--- a/pkg/backends/trust.go
+++ b/pkg/backends/trust.go
@@ -14,6 +14,10 @@
 	suspended time.Time     // no requests before this
 	pause     time.Duration // last suspension
 	probing   time.Time     // until then one request is finding out whether it is back
+
+	failedAt   time.Time // last time that it could not be reached
+	answeredAt time.Time // last answer
+	doubtedAt  time.Time // last time that another host could not reach it
 }
 
 // Succeeded notes a request that the server completed.
@@ -25,17 +29,18 @@
 	t := &s.trust
 	t.decay(now, d.cfg.FailureForget)
 	t.failures *= 1 - d.cfg.FailureWeight
-	t.reached()
+	t.reached(now)
 }
 
 // Reached notes that a server has answered, whatever became of the request.
-func (d *Directory) Reached(id ident.BackendID) {
+func (d *Directory) Reached(now time.Time, id ident.BackendID) {
 	if s := d.servers[id]; s != nil {
-		s.trust.reached()
+		s.trust.reached(now)
 	}
 }
 
-func (t *trust) reached() {
+func (t *trust) reached(now time.Time) {
+	t.answeredAt = now
 	t.pause = 0
 	t.suspended = time.Time{}
 	t.probing = time.Time{}
@@ -55,6 +60,8 @@
 	case Gone:
 		t.suspend(now, d.cfg.SuspendMax, d.cfg.SuspendMax)
 	case Unreachable:
+		d.urgent = d.urgent || now.Sub(t.failedAt) >= doubtFor && !t.doubted(now)
+		t.failedAt = now
 		t.fail(now, d.cfg)
 		t.suspend(now, d.cfg.SuspendFirst, d.cfg.SuspendMax)
 	case Busy:
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -166,6 +166,14 @@
 	Work   []WorkNote  `cbor:"5,keyasint,omitempty"` // sums since the start
 	AgeMS  int64       `cbor:"6,keyasint,omitempty"` // of the sender's configuration
 	UpMS   int64       `cbor:"7,keyasint,omitempty"` // since the start of the sender's process
+	Doubts []DoubtNote `cbor:"8,keyasint,omitempty"` // servers that the sender could not reach lately
+}
+
+// DoubtNote is a backend server that the sender could not reach.
+type DoubtNote struct {
+	_       struct{} `cbor:",toarray"`
+	Backend ident.BackendID
+	AgeMS   int64 // since the last failure
 }
 
 // WorkNote is what the requests of the sender for a model service need.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -207,7 +207,7 @@
 
 // beat sends the state of this host to the others when it is due.
 func (r *Relay) beat() {
-	if r.quota.Urgent(r.now) {
+	if r.quota.Urgent(r.now) || r.backends.Urgent() {
 		r.roster.Hasten()
 	}
 	b, to, all := r.roster.Tick(r.now, !r.drainAt.IsZero())
@@ -216,6 +216,7 @@
 	}
 	if all {
 		r.quota.Told()
+		r.backends.Told()
 	}
 	m := Message{
 		Beat:   b,
@@ -228,6 +229,9 @@
 	for id, l := range r.backends.Own() {
 		m.Load = append(m.Load, BackendLoad{Backend: id, Requests: l.Requests, Memory: l.Memory, Prompt: l.Prompt})
 	}
+	for _, d := range r.backends.Doubts(r.now) {
+		m.Doubts = append(m.Doubts, DoubtNote{Backend: d.ID, AgeMS: d.Age.Milliseconds()})
+	}
 	r.emit(Send{To: to, Message: m})
 }
 
@@ -259,9 +263,18 @@
 		loads[l.Backend] = backends.Load{Requests: l.Requests, Memory: l.Memory, Prompt: l.Prompt}
 	}
 	r.backends.SetPeer(from.ID, loads)
+	r.hearDoubts(m.Doubts)
 	r.hearRoles(from.ID, restarted, m)
 }
 
+func (r *Relay) hearDoubts(notes []DoubtNote) {
+	doubts := make([]backends.Doubt, len(notes))
+	for i, n := range notes {
+		doubts[i] = backends.Doubt{ID: n.Backend, Age: time.Duration(n.AgeMS) * time.Millisecond}
+	}
+	r.backends.HearDoubts(r.now, doubts)
+}
+
 // sizeQuota tells the limiter what is known of the fleet. A fleet that starts as a whole
 // is taken to have as many entry hosts as backend servers until its hosts are known.
 func (r *Relay) sizeQuota() {
--- a/pkg/relay/staged.go
+++ b/pkg/relay/staged.go
@@ -133,7 +133,7 @@
 		return
 	}
 	if e.Outcome == Whole {
-		r.backends.Reached(q.to.ID)
+		r.backends.Reached(r.now, q.to.ID)
 		q.hold = e.Hold
 		r.prefillOrDecode(q)
 		return
