relayhost: large bodies share a bounded memory

Cause: the host allocated what a caller announced as its body, for any number of callers. Thirty callers with 4 MB each end a process with 112 MB; a caller that sends the header only costs as much as one that sends it all.

Ruled out: the runtime's memory limit, which makes it collect more often but does not refuse.

Before: twelve bodies of 1 MB are all read at once. After: four, with room for four; the others are refused and small requests are served meanwhile (pkg/relayhost/bodies_test.go, 25 runs under the race detector).

--- a/pkg/relayhost/front.go
+++ b/pkg/relayhost/front.go
@@ -1,7 +1,6 @@
 package relayhost
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"math"
@@ -14,19 +13,17 @@
 	"github.com/mulberrystream/mulberrystream/pkg/relay"
 )
 
-// defaultBodyBytes bounds bodies before the first configuration.
-const defaultBodyBytes = 1 << 20
-
 // ServeHTTP relays one request of a caller.
 func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if h.core.leave() {
 		w.Header().Set("Connection", "close")
 	}
-	body, err := h.readBody(w, r)
+	body, release, err := h.readBody(w, r)
 	if err != nil {
 		h.refuseBody(w, r, err)
 		return
 	}
+	defer release()
 	j := h.core.open()
 	defer h.core.close(j)
 	x := &exchange{host: h, job: j, w: w, r: r, body: body, ask: h.dialect.Ask(r)}
@@ -34,19 +31,6 @@
 	x.run()
 }
 
-func (h *Host) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	most := int64(defaultBodyBytes)
-	if l, ok := h.core.limits(); ok && l.BodyBytes > 0 {
-		most = l.BodyBytes
-	}
-	var buf bytes.Buffer
-	if r.ContentLength > 0 {
-		buf.Grow(int(min(r.ContentLength, most)) + bytes.MinRead)
-	}
-	_, err := buf.ReadFrom(http.MaxBytesReader(w, r.Body, most))
-	return buf.Bytes(), err
-}
-
 func (h *Host) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -54,6 +38,14 @@
 		writeStatus(w, http.StatusRequestEntityTooLarge, 0)
 		return
 	}
+	if errors.Is(err, errNoBodyRoom) {
+		h.log.Info("relayhost: body refused", zap.String("request_id", h.dialect.Ask(r).RequestID),
+			zap.Int64("length", r.ContentLength), zap.Error(err))
+		// The rest of the body is not read, so the connection cannot go on.
+		w.Header().Set("Connection", "close")
+		writeStatus(w, http.StatusServiceUnavailable, bodyWait)
+		return
+	}
 	h.log.Debug("relayhost: request not read", zap.String("peer", r.RemoteAddr), zap.Error(err))
 	// The caller has broken off or sent a malformed body; either way the
 	// connection cannot go on.
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -63,6 +63,7 @@
 	follower *follow.Follower
 	metrics  *meters
 	seeds    []string // in force
+	bodies   *bodyRoom
 }
 
 // memoryShare is the part of the allowed memory that the runtime aims for. The rest
@@ -78,6 +79,7 @@
 		decoder: cfg.Decoder,
 		clients: newClients(),
 		metrics: newMeters(),
+		bodies:  newBodyRoom(cfg.MemoryBytes),
 		seeds:   cfg.Relay.Roster.Seeds,
 	}
 	if cfg.MemoryBytes > 0 {
