relay: count the other hosts without a list; plainer names

Cause: found on rereading. The number of heard hosts was taken from a new list of them for each choice of a server; a host without known others kept its urgent news and sent every 50 ms to nobody; "perhaps" did not say what it counts.

--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -68,7 +68,7 @@
 	peers map[ident.HostID]*peer
 	start time.Time
 
-	perhaps int // see SetFleet
+	assumed int // hosts while they are not known yet, see SetFleet
 }
 
 type bucket struct {
@@ -97,13 +97,13 @@
 	}
 }
 
-// SetFleet says how often hosts report, as the silence after which one is charged its
-// share, and how many hosts the fleet may have while they are still becoming known, or 0
-// once they are. Hosts that start together know few others at first and would each take
-// a large share of all limits.
-func (l *Limiter) SetFleet(silentAfter time.Duration, perhaps int) {
+// SetFleet sets the silence after which a host is charged its share, which follows the
+// interval of reports, and the number of hosts that the fleet is assumed to have while they
+// are still becoming known, or 0 once they are. Hosts that start together know few others
+// at first and would each take a large share of all limits.
+func (l *Limiter) SetFleet(silentAfter time.Duration, assumed int) {
 	l.cfg.SilentAfter = silentAfter
-	l.perhaps = perhaps
+	l.assumed = assumed
 }
 
 // SetLimit puts an organisation's limit in force.
@@ -133,7 +133,7 @@
 			heard++
 		}
 	}
-	return max(all, l.cfg.LeastHosts, l.perhaps), heard
+	return max(all, l.cfg.LeastHosts, l.assumed), heard
 }
 
 // capacity is the part of the burst that the hosts in reach may use.
@@ -151,7 +151,7 @@
 		return 0, 0
 	}
 	used := b.limit.Rate * float64(silent) / float64(all)
-	if l.perhaps == 0 {
+	if l.assumed == 0 {
 		used = max(0, used-l.cfg.Tolerance.perSecond(b.limit))
 	}
 	return silent, used / float64(silent)
@@ -191,7 +191,7 @@
 // wait returns when a bucket will have gained what it lacks. While the fleet is not known
 // yet the gain is small but soon grows.
 func (l *Limiter) wait(now time.Time, b *bucket, lack float64) time.Duration {
-	if l.perhaps > 0 {
+	if l.assumed > 0 {
 		return settleTime + time.Duration(lack/b.limit.Rate*float64(time.Second))
 	}
 	silent, each := l.silentShare(now, b)
--- a/pkg/relay/rate.go
+++ b/pkg/relay/rate.go
@@ -48,6 +48,6 @@
 // have placed since their last beats: on average half an interval's. The load balancer
 // gives all hosts about the same.
 func (r *Relay) unseen(service ident.Route) float64 {
-	others := float64(len(r.roster.Heard(r.now)))
+	others := float64(r.roster.Others(r.now))
 	return r.admitted(service).value(r.now) * others * r.roster.Interval().Seconds() / 2
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -211,13 +211,13 @@
 		r.roster.Hasten()
 	}
 	b, to, all := r.roster.Tick(r.now, !r.drainAt.IsZero())
-	if len(to) == 0 {
-		return
-	}
 	if all {
 		r.quota.Told()
 		r.backends.Told()
 	}
+	if len(to) == 0 {
+		return
+	}
 	m := Message{
 		Beat:   b,
 		Used:   r.quota.Used(),
@@ -278,11 +278,11 @@
 // sizeQuota tells the limiter what is known of the fleet. A fleet that starts as a whole
 // is taken to have as many entry hosts as backend servers until its hosts are known.
 func (r *Relay) sizeQuota() {
-	perhaps := 0
+	assumed := 0
 	if !r.joined && !r.roster.Settled(r.now) {
-		perhaps = r.backends.Size()
+		assumed = r.backends.Size()
 	}
-	r.quota.SetFleet(r.roster.SilentAfter(), perhaps)
+	r.quota.SetFleet(r.roster.SilentAfter(), assumed)
 }
 
 // startedTogether is the difference of the ages of hosts that start at the same time, as
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -107,8 +107,9 @@
 // Next returns the time of the next beat.
 func (r *Roster) Next() time.Time { return r.nextBeat }
 
-// Tick returns the next beat and the addresses that get it, if one is due. Between two
-// beats to all hosts new ones get one of their own, so that they soon know the others.
+// Tick returns the next beat and the addresses that get it, if one is due. all says that
+// it goes to all hosts. Between two of those, new hosts get one of their own, so that they
+// soon know the others.
 func (r *Roster) Tick(now time.Time, leaving bool) (b Beat, to []string, all bool) {
 	if now.Before(r.nextBeat) {
 		to, r.welcome = r.welcome, nil
@@ -278,6 +279,17 @@
 	return hosts
 }
 
+// Others returns the number of hosts that Heard returns.
+func (r *Roster) Others(now time.Time) int {
+	n := 0
+	for _, m := range r.hosts {
+		if r.heard(now, m) && !m.leaving {
+			n++
+		}
+	}
+	return n
+}
+
 // Silent returns the hosts that were heard once and have fallen silent.
 func (r *Roster) Silent(now time.Time) []ident.HostID {
 	var hosts []ident.HostID
