fleet: the successor of a killed host waits for its port

Between the kill and the start of the successor the kernel had given the port to an outgoing connection.

Ruled out: the product.

Change: the tests' fleet starts the process again while its port is in use, up to the usual limit of waiting.

Not shown: that a connection always gives the port back in time.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -83,8 +84,24 @@
 	Args     []string // further flags
 }
 
-// StartHost starts a process and waits until it has said its addresses.
+// StartHost starts a process and waits until it has said its addresses. A process that is
+// to listen where a former one did tries again while another process has the port: the
+// kernel may give a port that is free for a moment to any outgoing connection.
 func StartHost(o HostOptions) (*Host, error) {
+	limit := time.Now().Add(WaitLimit)
+	for {
+		h, err := startOnce(o)
+		if err == nil || !strings.Contains(err.Error(), "address already in use") || time.Now().After(limit) {
+			return h, err
+		}
+		time.Sleep(portPause)
+	}
+}
+
+// portPause is the time between two tries to listen at a port in use.
+const portPause = 100 * time.Millisecond
+
+func startOnce(o HostOptions) (*Host, error) {
 	path, err := Binary("mulberrystream")
 	if err != nil {
 		return nil, err
