fleet: build the program before its port is taken in the test

Cause: TestStartHostWaitsForItsPort built the program while the port was in use, which takes longer than the port stayed in use.

Before: passes without the change to StartHost. After: fails without it with "bind: address already in use", passes with it.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -14,6 +14,8 @@
 // moment when its successor started.
 func TestStartHostWaitsForItsPort(t *testing.T) {
 	g := gomega.NewWithT(t)
+	_, err := fleet.Binary("mulberrystream") // built before the port is taken
+	g.Expect(err).NotTo(gomega.HaveOccurred())
 	other, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	const inUse = 500 * time.Millisecond
