Simplify the choice of a server and the reports of limits

Cause: found on rereading the change. The number of unseen requests was also worked out for the expected wait of a prompt, which does not use it and is asked for each waiting request. Each report of another host allocated a map that only reports after a silence need.

Ruled out: a change of decisions.

--- a/pkg/backends/level.go
+++ b/pkg/backends/level.go
@@ -1,6 +1,7 @@
 package backends
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 )
@@ -22,15 +23,7 @@
 	if len(all) == 0 {
 		return candidate{}, false
 	}
-	slices.SortStableFunc(all, func(a, b candidate) int {
-		switch {
-		case a.cost < b.cost:
-			return -1
-		case a.cost > b.cost:
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(all, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
 	if unseen <= 0 {
 		equal := 1
 		for equal < len(all) && all[equal].cost == all[0].cost {
@@ -52,13 +45,10 @@
 // been shared out to the emptiest ones, and the number of those.
 func waterLevel(sorted []candidate, amount float64) (level float64, filled int) {
 	sum := 0.0
-	for i, c := range sorted {
-		sum += c.cost
-		n := float64(i + 1)
-		level = (amount + sum) / n
-		if i+1 == len(sorted) || level <= sorted[i+1].cost {
-			return level, i + 1
-		}
+	for filled < len(sorted) && (filled == 0 || level > sorted[filled].cost) {
+		sum += sorted[filled].cost
+		filled++
+		level = (amount + sum) / float64(filled)
 	}
-	return level, len(sorted)
+	return level, filled
 }
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -297,8 +297,9 @@
 // charge takes what a peer has admitted since its last report, less what was
 // assumed for it.
 func (l *Limiter) charge(now time.Time, p *peer, used map[ident.Organisation]int64) {
-	assumed := make(map[*bucket]float64, len(l.orgs))
+	var assumed map[*bucket]float64
 	if silent := now.Sub(p.heard) - l.cfg.SilentAfter; !p.heard.IsZero() && silent > 0 {
+		assumed = make(map[*bucket]float64, len(l.orgs))
 		for _, b := range l.orgs {
 			_, each := l.silentShare(now, b)
 			assumed[b] = silent.Seconds() * each
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -96,6 +96,15 @@
 	return h
 }
 
+// beat brings news of another host, whose configuration has an age in milliseconds.
+func (h *host) beat(age int64) {
+	h.last++
+	h.step(relay.Heard{Message: relay.Message{
+		Beat:  roster.Beat{From: roster.Host{ID: "peer", Incarnation: 1, Addr: "peer"}, Sequence: uint64(h.last)},
+		AgeMS: age,
+	}})
+}
+
 func (h *host) contact() { h.step(relay.Contact{Sent: h.now, Revision: 10}) }
 
 func (h *host) step(e relay.Event) []relay.Effect {
@@ -215,47 +224,33 @@
 
 	It("reads again at once, and once in an outage, when another host has read the platform", func() {
 		h := newHost().ready()
-		beat := func(age int64) {
-			h.last++
-			h.step(relay.Heard{Message: relay.Message{
-				Beat:  roster.Beat{From: roster.Host{ID: "peer", Incarnation: 1, Addr: "peer"}, Sequence: uint64(h.last)},
-				AgeMS: age,
-			}})
-		}
 		h.step(relay.ContactFailed{})
 		h.wait(time.Second)
-		beat(1500)
+		h.beat(1500)
 		expectNone[relay.ReadAgain](h)
-		beat(100)
+		h.beat(100)
 		expect[relay.ReadAgain](h)
 		h.step(relay.ContactFailed{})
-		beat(100)
+		h.beat(100)
 		expectNone[relay.ReadAgain](h)
 		h.contact()
 		h.step(relay.ContactFailed{})
 		h.wait(time.Second)
-		beat(100)
+		h.beat(100)
 		expect[relay.ReadAgain](h)
 	})
 
 	It("sends callers to other hosts before it has to refuse them, if only it cannot read the platform", func() {
 		h := newHost().ready()
-		beat := func(age int64) {
-			h.last++
-			h.step(relay.Heard{Message: relay.Message{
-				Beat:  roster.Beat{From: roster.Host{ID: "peer", Incarnation: 1, Addr: "peer"}, Sequence: uint64(h.last)},
-				AgeMS: age,
-			}})
-		}
 		h.step(relay.ContactFailed{})
 		h.wait(2 * time.Second)
-		beat(2000)
+		h.beat(2000)
 		Expect(h.relay.Ready()).To(BeTrue(), "the others know no more")
-		beat(100)
+		h.beat(100)
 		Expect(h.relay.Ready()).To(BeFalse())
 		Expect(h.relay.Isolated()).To(BeTrue())
 		h.wait(3 * time.Second)
-		beat(100)
+		h.beat(100)
 		h.ask("/read/1", relay.Ask{})
 		Expect(expect[relay.Refuse](h).RetryAfter).To(BeNumerically("<", 100*time.Millisecond))
 		h.contact()
--- a/pkg/relay/staged.go
+++ b/pkg/relay/staged.go
@@ -157,7 +157,6 @@
 		Near:    near,
 		Need:    backends.Load{Requests: 1, Memory: q.ask.Prompt, Prompt: q.ask.Prompt},
 		Memory:  q.service.Engine.MemoryTokens,
-		Unseen:  r.unseen(q.service.Name),
 	}
 }
 
@@ -173,7 +172,9 @@
 // prefillOrDecode has the prompt read, by the decode engine itself if there is no
 // prefill engine.
 func (r *Relay) prefillOrDecode(q *request) {
-	to, wait, ok := r.backends.PickPrefill(r.now, r.prefillQuery(q))
+	query := r.prefillQuery(q)
+	query.Unseen = r.unseen(q.service.Name)
+	to, wait, ok := r.backends.PickPrefill(r.now, query)
 	if !ok {
 		q.local = true
 		r.decode(q)
