--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -69,6 +69,12 @@
 	startedAt time.Time
 
 	assumedHosts int // size of the fleet while hosts are still being discovered, otherwise 0
+
+	// The number of reporting hosts is kept until recountAt, when the next of them could
+	// become silent: counting them for each organisation and report would dominate the
+	// processor time of a host in a large fleet.
+	reporting int
+	recountAt time.Time // zero if the number must be counted anew
 }
 
 type bucket struct {
@@ -82,6 +88,7 @@
 type peer struct {
 	incarnation ident.Incarnation
 	lastReport  time.Time
+	reporting   bool // counted in Limiter.reporting
 	used        map[ident.Organisation]int64
 }
 
@@ -102,7 +109,10 @@
 // number, hosts that start together know few others at first and would each use a large
 // share of all limits.
 func (l *Limiter) SetFleet(silentAfter time.Duration, assumed int) {
-	l.cfg.SilentAfter = silentAfter
+	if silentAfter != l.cfg.SilentAfter {
+		l.cfg.SilentAfter = silentAfter
+		l.recountAt = time.Time{}
+	}
 	l.assumedHosts = assumed
 }
 
@@ -128,14 +138,26 @@
 // countHosts returns the number of hosts in the fleet and how many of them are reporting,
 // this one included.
 func (l *Limiter) countHosts(now time.Time) (all, reporting int) {
-	all, reporting = 1, 1
+	if !now.Before(l.recountAt) {
+		l.recount(now)
+	}
+	return max(len(l.peers)+1, l.cfg.MinHosts, l.assumedHosts), l.reporting + 1
+}
+
+// recount counts the peers that are reporting.
+func (l *Limiter) recount(now time.Time) {
+	l.reporting = 0
+	l.recountAt = now.Add(l.cfg.SilentAfter)
 	for _, p := range l.peers {
-		all++
-		if now.Sub(p.lastReport) < l.cfg.SilentAfter {
-			reporting++
+		silentAt := p.lastReport.Add(l.cfg.SilentAfter)
+		if p.reporting = now.Before(silentAt); !p.reporting {
+			continue
+		}
+		l.reporting++
+		if silentAt.Before(l.recountAt) {
+			l.recountAt = silentAt
 		}
 	}
-	return max(all, l.cfg.MinHosts, l.assumedHosts), reporting
 }
 
 // capacity returns the part of the burst that the reporting hosts may use.
@@ -294,6 +316,9 @@
 			// a peer that started later are all charged.
 			fresh.used = r.Used
 		}
+		if p != nil && p.reporting {
+			l.reporting--
+		}
 		p = fresh
 		l.peers[r.Host] = p
 	}
@@ -314,6 +339,10 @@
 	}
 	// From here on the peer counts as reporting, so that its part of the burst may be used.
 	p.lastReport = now
+	if !p.reporting {
+		p.reporting = true
+		l.reporting++
+	}
 	for name, b := range l.orgs {
 		d := float64(used[name]-p.used[name]) - assumed[b]
 		b.level = min(l.capacity(now, b), b.level-d)
@@ -328,6 +357,7 @@
 				l.refill(now, b)
 			}
 			delete(l.peers, host)
+			l.recountAt = time.Time{}
 		}
 	}
 }
--- a/pkg/relay/bench_test.go
+++ b/pkg/relay/bench_test.go
@@ -14,6 +14,45 @@
 	"github.com/mulberrystream/mulberrystream/pkg/roster"
 )
 
+// BenchmarkHeardInFleet measures the handling of a heartbeat in fleets of several sizes, with
+// 19 organisations. Its time must not grow with the number of hosts: a host of a large
+// fleet receives as many heartbeats a second as the fleet allows.
+func BenchmarkHeardInFleet(b *testing.B) {
+	for _, hosts := range []int{7, 85, 195} {
+		b.Run(fmt.Sprint("hosts=", hosts), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			r := relay.New(relay.DefaultConfig(roster.Host{ID: "self", Incarnation: 1, Addr: "self"}, nil), now)
+			s := catalog.New(1)
+			m := relay.Message{Used: map[ident.Organisation]int64{}}
+			for i := range 19 {
+				name := ident.Organisation(fmt.Sprintf("organisation-%03d", i))
+				s.AddOrganisation(&catalog.Organisation{Name: name, Rate: 1e5, Burst: 1e5}, nil)
+				m.Used[name] = int64(i) * 1_000_003
+			}
+			r.Step(now, relay.ConfigRead{Snapshot: s.Build()})
+			peers := make([]roster.Host, hosts-1)
+			for i := range peers {
+				id := fmt.Sprintf("peer-%03d", i)
+				peers[i] = roster.Host{ID: ident.HostID(id), Incarnation: 1, Addr: id, Domain: "a"}
+			}
+			next := 0
+			receive := func() {
+				now = now.Add(12 * time.Millisecond)
+				m.Heartbeat.Sequence++
+				m.Heartbeat.From = peers[next%len(peers)]
+				next++
+				r.Step(now, relay.MessageReceived{Message: m})
+			}
+			for range peers {
+				receive()
+			}
+			for b.Loop() {
+				receive()
+			}
+		})
+	}
+}
+
 // BenchmarkHeard measures the handling of a heartbeat of another host. Its time and size
 // grow with the number of organisations that use their limits and with the number of
 // engines that the sender uses.
