--- a/pkg/backends/directory.go
+++ b/pkg/backends/directory.go
@@ -20,6 +20,9 @@
 	rng          *rand.Rand
 	candidateBuf []candidate // reused by candidates
 	newReport    bool        // see HasNewReport
+	departed     map[ident.BackendID]departure
+	withheld     map[ident.BackendID]int64 // start times of the processes withheld after a restore
+	withheldTill time.Time
 }
 
 type server struct {
@@ -29,8 +32,10 @@
 	health     health
 	throughput throughput
 
-	removeAt time.Time // end of the grace period of a missing entry; zero if listed
-	lastFull time.Time // last rejection for lack of capacity
+	removeAt    time.Time // end of the grace period of a missing entry; zero if listed
+	unconfirmed bool      // missing after a restore of the store, so still in use until removeAt
+	unusedUntil time.Time // the entry may be outdated until then, see StoreRestored
+	lastFull    time.Time // last rejection for lack of capacity
 
 	switchTo    Stage // target stage of a pending switch
 	switchUntil time.Time
@@ -49,6 +54,7 @@
 		byService:   map[ident.Route][]*server{},
 		peerLoads:   map[ident.HostID]map[ident.BackendID]Load{},
 		prefillFits: map[ident.Route]*linearFit{},
+		departed:    map[ident.BackendID]departure{},
 		rng:         rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
 }
@@ -57,6 +63,8 @@
 // process that does not have the requests of the old one, so this host's load and the
 // health state start anew. A changed address or stage resets only the health state.
 func (d *Directory) Put(e Entry) {
+	delete(d.withheld, e.ID)
+	delete(d.departed, e.ID)
 	s := d.servers[e.ID]
 	if s == nil || s.Service != e.Service || s.StartedAt != e.StartedAt {
 		d.Remove(e.ID)
@@ -70,7 +78,7 @@
 		s.health = health{}
 	}
 	s.Entry = e
-	s.removeAt = time.Time{}
+	s.removeAt, s.unconfirmed, s.unusedUntil = time.Time{}, false, time.Time{}
 }
 
 func (d *Directory) index(s *server) {
@@ -99,6 +107,9 @@
 	}
 }
 
+// listed reports whether the server's entry is in the list, as far as is known.
+func (s *server) listed() bool { return s.removeAt.IsZero() || s.unconfirmed }
+
 // ExpireMissing removes the entries whose grace period has ended and returns their ids.
 func (d *Directory) ExpireMissing(now time.Time) []ident.BackendID {
 	var gone []ident.BackendID
@@ -109,7 +120,7 @@
 	}
 	slices.Sort(gone)
 	for _, id := range gone {
-		d.Remove(id)
+		d.Depart(now, id)
 	}
 	return gone
 }
@@ -145,7 +156,7 @@
 		if s.switching(now) {
 			at = s.switchTo
 		}
-		if at == stage && !s.Draining && s.removeAt.IsZero() && !s.suspended(now) {
+		if at == stage && !s.Draining && s.listed() && !now.Before(s.unusedUntil) && !s.suspended(now) {
 			n++
 		}
 	}
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -12,6 +12,10 @@
 // available.
 var ErrCompacted = errors.New("history compacted")
 
+// ErrRestored means that the store has come back from an older copy of its data: the
+// revisions known so far say nothing about the present ones.
+var ErrRestored = errors.New("store restored from an older copy")
+
 // ErrNotReady means that a mirror has no copy yet or that its last read failed.
 var ErrNotReady = errors.New("no copy yet")
 
@@ -23,10 +27,24 @@
 	Removed  bool
 }
 
+// Position is a point in the history of the store. A store that is restored from an older
+// copy starts a new era and assigns revisions again, so revisions are compared only within
+// one era.
+type Position struct {
+	Era      uint64
+	Revision uint64
+}
+
+// Before reports whether p is earlier than o.
+func (p Position) Before(o Position) bool {
+	return p.Era < o.Era || p.Era == o.Era && p.Revision < o.Revision
+}
+
 // Page is the response to a List or Wait call.
 type Page struct {
 	Items []Item
 	At    uint64 // revision of the store
+	Era   uint64 // of At and of the revisions of Items
 	More  bool   // more keys follow the last one
 	// Mirrored is set if the response comes from a Mirror. Age is then the age of the
 	// mirror's copy when it responded.
@@ -41,20 +59,20 @@
 	// List returns a page of the keys under a prefix that sort after the key after; an
 	// empty after starts with the first key.
 	List(ctx context.Context, prefix, after string) (Page, error)
-	// Wait returns the changes after a revision as soon as there are any, or none once
+	// Wait returns the changes after a position as soon as there are any, or none once
 	// wait has passed.
-	Wait(ctx context.Context, prefix string, after uint64, wait time.Duration) (Page, error)
+	Wait(ctx context.Context, prefix string, after Position, wait time.Duration) (Page, error)
 }
 
 // Sink receives the items and events of a Follower. All calls come from one goroutine.
 type Sink interface {
-	// Replace passes all items under the prefix.
-	Replace(items []Item)
+	// Replace passes all items under the prefix and the position of the store.
+	Replace(items []Item, at Position)
 	// Change passes the changed items in the order of their revisions.
 	Change(items []Item)
-	// Contact reports a successful call and the store's revision. The copy is at least
-	// as recent as sent.
-	Contact(sent time.Time, revision uint64)
+	// Contact reports a successful call and the position of the store. The copy is at
+	// least as recent as sent.
+	Contact(sent time.Time, at Position)
 	// Failed reports a failed call.
 	Failed(err error)
 }
@@ -102,7 +120,7 @@
 
 	retryNow chan struct{}
 	listed   bool
-	revision uint64
+	at       Position
 	failures int // consecutive
 }
 
@@ -131,7 +149,7 @@
 		}
 		f.failures++
 		f.sink.Failed(err)
-		if errors.Is(err, ErrCompacted) {
+		if errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) {
 			f.listed = false
 			continue
 		}
@@ -179,7 +197,7 @@
 	var (
 		items []Item
 		after string
-		first uint64 // revision of the first page
+		first Position // of the first page
 		age   time.Duration
 	)
 	for {
@@ -187,8 +205,12 @@
 		if err != nil {
 			return fmt.Errorf("follow: list %q: %w", f.prefix, err)
 		}
-		if first == 0 {
-			first = p.At
+		at := Position{p.Era, p.At}
+		if first == (Position{}) {
+			first = at
+		}
+		if at.Era != first.Era {
+			return fmt.Errorf("follow: list %q: restored between two pages, era %d to %d", f.prefix, first.Era, at.Era)
 		}
 		age = max(age, p.Age)
 		items = append(items, p.Items...)
@@ -197,12 +219,12 @@
 		}
 		after = p.Items[len(p.Items)-1].Key
 	}
-	if first < f.revision {
-		return fmt.Errorf("follow: list %q: revision %d is older than %d", f.prefix, first, f.revision)
+	if first.Before(f.at) {
+		return fmt.Errorf("follow: list %q: %+v is older than %+v", f.prefix, first, f.at)
 	}
 	f.listed = true
-	f.revision = first
-	f.sink.Replace(items)
+	f.at = first
+	f.sink.Replace(items, first)
 	f.sink.Contact(sent.Add(-age), first)
 	return nil
 }
@@ -216,19 +238,24 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+f.cfg.ResponseTimeout)
 	defer cancel()
 	sent := f.now()
-	p, err := f.source.Wait(ctx, f.prefix, f.revision, wait)
-	if err != nil {
+	p, err := f.source.Wait(ctx, f.prefix, f.at, wait)
+	switch {
+	case err != nil:
 		return fmt.Errorf("follow: wait for %q: %w", f.prefix, err)
+	case p.Era > f.at.Era:
+		return fmt.Errorf("follow: wait for %q: era %d after %d: %w", f.prefix, p.Era, f.at.Era, ErrRestored)
+	case p.Era < f.at.Era:
+		return fmt.Errorf("follow: wait for %q: answer of era %d is older than era %d", f.prefix, p.Era, f.at.Era)
 	}
 	if len(p.Items) > 0 {
 		f.sink.Change(p.Items)
 	}
-	f.revision = max(f.revision, p.At)
+	f.at.Revision = max(f.at.Revision, p.At)
 	if !p.Mirrored && len(p.Items) == 0 && f.now().Sub(sent) >= p.Held {
 		// The store held the call for the whole wait and found no change at its end, so
 		// the copy was current then.
 		sent = sent.Add(p.Held)
 	}
-	f.sink.Contact(sent.Add(-p.Age), f.revision)
+	f.sink.Contact(sent.Add(-p.Age), f.at)
 	return nil
 }
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -23,6 +23,7 @@
 type call struct {
 	list  bool
 	after uint64
+	era   uint64
 	wait  time.Duration
 }
 
@@ -53,8 +54,8 @@
 	return s.next(ctx, call{list: true})
 }
 
-func (s *scriptedSource) Wait(ctx context.Context, _ string, after uint64, wait time.Duration) (follow.Page, error) {
-	return s.next(ctx, call{after: after, wait: wait})
+func (s *scriptedSource) Wait(ctx context.Context, _ string, after follow.Position, wait time.Duration) (follow.Page, error) {
+	return s.next(ctx, call{after: after.Revision, era: after.Era, wait: wait})
 }
 
 func (s *scriptedSource) recorded() []call {
@@ -72,13 +73,13 @@
 	failed   []error
 }
 
-func (r *recordingSink) Replace(items []follow.Item) {
+func (r *recordingSink) Replace(items []follow.Item, _ follow.Position) {
 	r.lock(func() { r.replaced = append(r.replaced, items) })
 }
 func (r *recordingSink) Change(items []follow.Item) {
 	r.lock(func() { r.changed = append(r.changed, items...) })
 }
-func (r *recordingSink) Contact(sent time.Time, _ uint64) {
+func (r *recordingSink) Contact(sent time.Time, _ follow.Position) {
 	r.lock(func() { r.sent = append(r.sent, sent) })
 }
 func (r *recordingSink) Failed(err error) { r.lock(func() { r.failed = append(r.failed, err) }) }
@@ -164,6 +165,47 @@
 		Expect(sink.sent).To(Equal([]time.Time{time.Unix(1000, 0), time.Unix(1000, 0)}))
 	})
 
+	restored := func(era, at uint64, keys ...string) func() (follow.Page, error) {
+		return func() (follow.Page, error) {
+			p, err := page(at, keys...)()
+			p.Era = era
+			return p, err
+		}
+	}
+
+	It("lists again when the store has come back from an older copy, and accepts its lower revisions", func() {
+		run(page(50, "a"), restored(1, 44, "a"), restored(1, 44, "b"), restored(1, 45, "c"))
+		Expect(sink.replaced).To(HaveLen(2))
+		Expect(sink.changed).To(HaveLen(1), "the answer of the new era to a revision of the old one was used")
+		Expect(sink.changed[0].Key).To(Equal("c"))
+		last := src.recorded()[4]
+		Expect([]uint64{last.era, last.after}).To(Equal([]uint64{1, 45}))
+	})
+
+	It("lists again when the restored store does not have the revision yet", func() {
+		run(page(50, "a"), failWith(follow.ErrCompacted), restored(1, 44, "b"))
+		Expect(sink.replaced).To(HaveLen(2))
+		Expect(src.recorded()[3].after).To(Equal(uint64(44)))
+	})
+
+	It("does not use a late answer of an earlier era", func() {
+		run(restored(2, 44, "a"), restored(1, 60, "b"), restored(2, 45, "c"))
+		Expect(sink.changed).To(HaveLen(1))
+		Expect(sink.changed[0].Key).To(Equal("c"))
+		Expect(sink.failed).To(HaveLen(1))
+	})
+
+	It("does not combine pages of two eras into one list", func() {
+		first := func() (follow.Page, error) {
+			p, err := page(50, "a")()
+			p.More = true
+			return p, err
+		}
+		run(first, restored(1, 44, "b"), restored(1, 44, "a", "b"))
+		Expect(sink.replaced).To(HaveLen(1))
+		Expect(sink.replaced[0]).To(HaveLen(2))
+	})
+
 	It("reads without waiting after a failure, so that missed changes arrive at once", func() {
 		run(page(5), failWith(errors.New("reset")))
 		Expect(sink.failed).To(HaveLen(1))
@@ -219,7 +261,7 @@
 	return follow.Page{}, errors.New("store unavailable")
 }
 
-func (u *unavailableSource) Wait(context.Context, string, uint64, time.Duration) (follow.Page, error) {
+func (u *unavailableSource) Wait(context.Context, string, follow.Position, time.Duration) (follow.Page, error) {
 	u.calls++
 	return follow.Page{}, errors.New("store unavailable")
 }
--- a/pkg/follow/mirror.go
+++ b/pkg/follow/mirror.go
@@ -18,6 +18,7 @@
 	mu           sync.Mutex
 	items        map[string]Item
 	history      []Item
+	era          uint64        // of the copy; all revisions here are of it
 	revision     uint64        // revision of the copy
 	historyStart uint64        // history holds all changes after this revision
 	asOf         time.Time     // the copy is at least as recent as this
@@ -40,7 +41,7 @@
 // Replace replaces the copy by a new list. Hosts that follow the mirror have to list again
 // too: an item that is missing from the new list may have expired while the store was
 // unavailable, which must not be reported as a removal.
-func (m *Mirror) Replace(items []Item) {
+func (m *Mirror) Replace(items []Item, at Position) {
 	m.mu.Lock()
 	m.items = make(map[string]Item, len(items))
 	for _, it := range items {
@@ -48,9 +49,10 @@
 	}
 	m.history = nil
 	m.historyStart = 0 // set by Contact, which knows the revision of the list
+	m.era = at.Era
 	m.revision = 0
 	m.mu.Unlock()
-	m.next.Replace(items)
+	m.next.Replace(items, at)
 }
 
 // Change applies changes to the copy.
@@ -73,14 +75,14 @@
 }
 
 // Contact updates the age and the revision of the copy.
-func (m *Mirror) Contact(sent time.Time, revision uint64) {
+func (m *Mirror) Contact(sent time.Time, at Position) {
 	m.mu.Lock()
 	if m.revision == 0 {
-		m.historyStart = revision
+		m.historyStart = at.Revision
 	}
-	changed := revision != m.revision
+	changed := at.Revision != m.revision
 	m.failing = false
-	m.revision = revision
+	m.revision = at.Revision
 	if sent.After(m.asOf) {
 		m.asOf = sent
 	}
@@ -89,7 +91,7 @@
 		m.changed = make(chan struct{})
 	}
 	m.mu.Unlock()
-	m.next.Contact(sent, revision)
+	m.next.Contact(sent, at)
 }
 
 // Failed records a failed read. Until the next successful one the mirror returns
@@ -113,7 +115,7 @@
 	if m.revision == 0 || m.failing {
 		return Page{}, ErrNotReady
 	}
-	p := Page{At: m.revision, Mirrored: true, Age: m.age()}
+	p := Page{At: m.revision, Era: m.era, Mirrored: true, Age: m.age()}
 	for key, it := range m.items {
 		if strings.HasPrefix(key, prefix) && key > after {
 			p.Items = append(p.Items, it)
@@ -126,9 +128,9 @@
 	return p, nil
 }
 
-// Wait returns the changes after a revision as soon as there are any, or none once wait
+// Wait returns the changes after a position as soon as there are any, or none once wait
 // has passed.
-func (m *Mirror) Wait(ctx context.Context, prefix string, after uint64, wait time.Duration) (Page, error) {
+func (m *Mirror) Wait(ctx context.Context, prefix string, after Position, wait time.Duration) (Page, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -147,18 +149,18 @@
 	}
 }
 
-func (m *Mirror) changesSince(prefix string, after uint64) (Page, <-chan struct{}, error) {
+func (m *Mirror) changesSince(prefix string, after Position) (Page, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
-	case m.revision == 0 || m.failing:
+	case m.revision == 0 || m.failing || after.Era > m.era:
 		return Page{}, nil, ErrNotReady
-	case after < m.historyStart:
+	case after.Era < m.era || after.Revision < m.historyStart:
 		return Page{}, nil, ErrCompacted
 	}
-	p := Page{At: max(m.revision, after), Mirrored: true, Age: m.age()}
+	p := Page{At: max(m.revision, after.Revision), Era: m.era, Mirrored: true, Age: m.age()}
 	for _, it := range m.history {
-		if it.Revision > after && strings.HasPrefix(it.Key, prefix) {
+		if it.Revision > after.Revision && strings.HasPrefix(it.Key, prefix) {
 			p.Items = append(p.Items, it)
 		}
 	}
--- a/pkg/follow/mirror_test.go
+++ b/pkg/follow/mirror_test.go
@@ -32,34 +32,51 @@
 	It("is not ready before it has a copy", func() {
 		_, err := m.List(ctx, "", "")
 		Expect(err).To(MatchError(follow.ErrNotReady))
-		_, err = m.Wait(ctx, "", 1, 0)
+		_, err = m.Wait(ctx, "", follow.Position{Revision: 1}, 0)
 		Expect(err).To(MatchError(follow.ErrNotReady))
 	})
 
 	It("is not ready while its own reads fail, and tells waiting callers at once", func() {
-		m.Replace(nil)
-		m.Contact(now, 3)
+		m.Replace(nil, follow.Position{})
+		m.Contact(now, follow.Position{Revision: 3})
 		got := make(chan error)
 		go func() {
-			_, err := m.Wait(ctx, "", 3, time.Minute)
+			_, err := m.Wait(ctx, "", follow.Position{Revision: 3}, time.Minute)
 			got <- err
 		}()
 		m.Failed(follow.ErrNotReady)
 		var err error
 		Eventually(got, 10*time.Second).Should(Receive(&err))
 		Expect(err).To(MatchError(follow.ErrNotReady))
-		m.Contact(now, 3)
-		_, err = m.Wait(ctx, "", 3, 0)
+		m.Contact(now, follow.Position{Revision: 3})
+		_, err = m.Wait(ctx, "", follow.Position{Revision: 3}, 0)
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	It("does not mix the revisions of two eras of the store", func() {
+		m.Replace(nil, follow.Position{Revision: 50})
+		m.Contact(now, follow.Position{Revision: 50})
+		_, err := m.Wait(ctx, "", follow.Position{Era: 1, Revision: 40}, 0)
+		Expect(err).To(MatchError(follow.ErrNotReady), "the caller has seen a later era than the mirror")
+		m.Replace([]follow.Item{item("a", 44)}, follow.Position{Era: 1, Revision: 44})
+		m.Contact(now, follow.Position{Era: 1, Revision: 44})
+		_, err = m.Wait(ctx, "", follow.Position{Revision: 50}, 0)
+		Expect(err).To(MatchError(follow.ErrCompacted), "the caller's revision is of the earlier era")
+		p, err := m.List(ctx, "", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect([]uint64{p.Era, p.At}).To(Equal([]uint64{1, 44}))
+		p, err = m.Wait(ctx, "", follow.Position{Era: 1, Revision: 44}, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(p.Era).To(Equal(uint64(1)))
+	})
+
 	It("returns the copy in pages, with its age", func() {
 		var items []follow.Item
 		for i := range 450 {
 			items = append(items, item(fmt.Sprintf("k%03d", i), 3))
 		}
-		m.Replace(items)
-		m.Contact(now, 3)
+		m.Replace(items, follow.Position{})
+		m.Contact(now, follow.Position{Revision: 3})
 		now = now.Add(700 * time.Millisecond)
 		got, after := 0, ""
 		for {
@@ -77,17 +94,17 @@
 	})
 
 	It("wakes waiting callers when there are changes", func() {
-		m.Replace(nil)
-		m.Contact(now, 3)
+		m.Replace(nil, follow.Position{})
+		m.Contact(now, follow.Position{Revision: 3})
 		got := make(chan follow.Page)
 		go func() {
 			defer GinkgoRecover()
-			p, err := m.Wait(ctx, "", 3, time.Minute)
+			p, err := m.Wait(ctx, "", follow.Position{Revision: 3}, time.Minute)
 			Expect(err).NotTo(HaveOccurred())
 			got <- p
 		}()
 		m.Change([]follow.Item{item("a", 4)})
-		m.Contact(now, 4)
+		m.Contact(now, follow.Position{Revision: 4})
 		var p follow.Page
 		Eventually(got, 10*time.Second).Should(Receive(&p))
 		Expect(p.Items).To(HaveLen(1))
@@ -95,20 +112,20 @@
 	})
 
 	It("reports a compacted history after a new list, and for revisions before its history", func() {
-		m.Replace(nil)
-		m.Contact(now, 3)
+		m.Replace(nil, follow.Position{})
+		m.Contact(now, follow.Position{Revision: 3})
 		for i := range uint64(1000) {
 			m.Change([]follow.Item{item("a", 4+i)})
-			m.Contact(now, 4+i)
+			m.Contact(now, follow.Position{Revision: 4 + i})
 		}
-		_, err := m.Wait(ctx, "", 3, 0)
+		_, err := m.Wait(ctx, "", follow.Position{Revision: 3}, 0)
 		Expect(err).To(MatchError(follow.ErrCompacted))
-		p, err := m.Wait(ctx, "", 1000, 0)
+		p, err := m.Wait(ctx, "", follow.Position{Revision: 1000}, 0)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(p.Items).To(HaveLen(3))
-		m.Replace(nil)
-		m.Contact(now, 2000)
-		_, err = m.Wait(ctx, "", 1003, 0)
+		m.Replace(nil, follow.Position{})
+		m.Contact(now, follow.Position{Revision: 2000})
+		_, err = m.Wait(ctx, "", follow.Position{Revision: 1003}, 0)
 		Expect(err).To(MatchError(follow.ErrCompacted))
 	})
 
@@ -117,12 +134,12 @@
 			rnd := rand.New(rand.NewPCG(seed, 6))
 			now = time.Unix(1000, 0)
 			m = follow.NewMirror(&recordingSink{}, func() time.Time { return now })
-			m.Replace(nil)
+			m.Replace(nil, follow.Position{})
 			asOf := now.Add(-time.Duration(rnd.IntN(1000)) * time.Millisecond)
-			m.Contact(asOf, 3)
+			m.Contact(asOf, follow.Position{Revision: 3})
 			now = now.Add(time.Duration(rnd.IntN(3000)) * time.Millisecond)
 			sent := now
-			p, err := m.Wait(ctx, "", 3, 0)
+			p, err := m.Wait(ctx, "", follow.Position{Revision: 3}, 0)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(sent.Add(-p.Age)).NotTo(BeTemporally(">", asOf), "seed %d", seed)
 		}
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -103,7 +103,10 @@
 type ConfigRead struct{ Snapshot *catalog.Snapshot }
 
 // EntriesListed delivers the complete list of backend servers.
-type EntriesListed struct{ Entries []backends.Entry }
+type EntriesListed struct {
+	Entries []backends.Entry
+	Era     uint64 // of the platform's store; a new one means that an older copy was restored
+}
 
 // EntryChanged delivers a new or changed entry of the list.
 type EntryChanged struct{ Entry backends.Entry }
@@ -114,6 +117,7 @@
 // PlatformReadSucceeded reports a successful read of the platform.
 type PlatformReadSucceeded struct {
 	Sent     time.Time
+	Era      uint64 // of Revision
 	Revision uint64
 }
 
@@ -168,6 +172,7 @@
 	AgeMS       int64             `cbor:"6,keyasint,omitempty"` // age of the sender's configuration
 	UpMS        int64             `cbor:"7,keyasint,omitempty"` // uptime of the sender's process
 	Unreachable []UnreachableNote `cbor:"8,keyasint,omitempty"` // backend servers that the sender recently failed to reach
+	Version     uint64            `cbor:"9,keyasint,omitempty"` // of the sender's configuration
 }
 
 // UnreachableNote names a backend server that the sender failed to reach.
--- a/pkg/relay/platform.go
+++ b/pkg/relay/platform.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/mulberrystream/mulberrystream/pkg/backends"
 	"github.com/mulberrystream/mulberrystream/pkg/catalog"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 	"github.com/mulberrystream/mulberrystream/pkg/quota"
@@ -15,17 +14,34 @@
 		return
 	}
 	r.snapshot = s
+	r.latestVersion = max(r.latestVersion, s.Version)
 	s.Organisations(func(o *catalog.Organisation) {
 		r.quota.SetLimit(r.now, o.Name, quota.Limit{Rate: o.Rate, Burst: o.Burst})
 	})
 	r.log(Decision{Step: "configuration", Version: s.Version, Outcome: "in force"})
 }
 
+// configVersion returns the version of the configuration in force, or 0 without one.
+func (r *Relay) configVersion() uint64 {
+	if r.snapshot == nil {
+		return 0
+	}
+	return r.snapshot.Version
+}
+
 func (r *Relay) platformReadSucceeded(e PlatformReadSucceeded) {
-	if e.Sent.After(r.confirmedAt) {
+	// A store that was restored from an older copy has lost its latest configuration until
+	// the operator writes it again. A host that never had that version learns from the
+	// others that there is one, and does not count the older one as current.
+	if e.Sent.After(r.confirmedAt) && r.configVersion() >= r.latestVersion {
 		r.confirmedAt = e.Sent
 	}
-	r.storeRevision = max(r.storeRevision, e.Revision)
+	if e.Era > r.storeEra {
+		r.storeEra, r.storeRevision = e.Era, 0
+	}
+	if e.Era == r.storeEra {
+		r.storeRevision = max(r.storeRevision, e.Revision)
+	}
 	if !r.failingSince.IsZero() {
 		r.log(Decision{Step: "platform_back", Age: r.now.Sub(r.failingSince), Outcome: "reads succeed"})
 		r.reconnectedAt = r.now
@@ -45,15 +61,29 @@
 
 // entriesListed replaces the list of backend servers. Servers that are missing from it
 // disappeared while this host was not watching, possibly because of a fault of the
-// platform, so they are kept unused for a grace period.
-func (r *Relay) entriesListed(entries []backends.Entry) {
-	listed := make(map[ident.BackendID]bool, len(entries))
-	for _, e := range entries {
-		listed[e.ID] = true
-		r.backends.Put(e)
+// platform, so they are kept unused for a grace period. In a store that was restored from
+// an older copy, servers may only be missing because they registered after the copy was
+// made, so they stay in use for that time.
+func (r *Relay) entriesListed(e EntriesListed) {
+	restored := e.Era > r.storeEra && r.backendsListed
+	if restored {
+		r.backends.StoreRestored(r.now)
+		r.log(Decision{Step: "store_restored", Version: e.Era, Outcome: "list of an older copy; servers that left are not used until they register again"})
+	}
+	if e.Era > r.storeEra {
+		r.storeEra, r.storeRevision = e.Era, 0
+	}
+	listed := make(map[ident.BackendID]bool, len(e.Entries))
+	for _, entry := range e.Entries {
+		listed[entry.ID] = true
+		r.backends.PutListed(entry)
 	}
 	for _, id := range r.backends.IDs() {
-		if !listed[id] {
+		switch {
+		case listed[id]:
+		case restored:
+			r.backends.MarkUnconfirmed(r.now, id)
+		default:
 			r.backends.MarkMissing(r.now, id)
 		}
 	}
@@ -69,5 +99,5 @@
 		r.backends.MarkMissing(r.now, id)
 		return
 	}
-	r.backends.Remove(id)
+	r.backends.Depart(r.now, id)
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -34,7 +34,9 @@
 	latestPeerConfirmedAt time.Time
 	peerConfirmedAt       map[ident.HostID]time.Time
 	readDirectUntil       time.Time // until then this host bypasses its reader
-	storeRevision         uint64    // highest seen revision of the platform's store
+	storeEra              uint64    // latest seen era of the platform's store
+	storeRevision         uint64    // highest seen revision of storeEra
+	latestVersion         uint64    // highest version of the configuration that any host has
 	backendsListed        bool      // the list of backend servers has been read once
 	failingSince          time.Time // first failed read since the last success; zero if connected
 	retryRequested        bool      // RetryRead was emitted since failingSince
@@ -110,7 +112,7 @@
 	case ConfigRead:
 		r.configRead(e.Snapshot)
 	case EntriesListed:
-		r.entriesListed(e.Entries)
+		r.entriesListed(e)
 	case EntryChanged:
 		r.backends.Put(e.Entry)
 	case EntryRemoved:
@@ -228,6 +230,7 @@
 		Work:      r.roles.workReports(),
 		AgeMS:     r.age().Milliseconds(),
 		UpMS:      r.now.Sub(r.startedAt).Milliseconds(),
+		Version:   r.configVersion(),
 	}
 	for id, l := range r.backends.OwnLoads() {
 		m.Load = append(m.Load, BackendLoad{Backend: id, Requests: l.Requests, Memory: l.Memory, Prompt: l.Prompt})
@@ -257,6 +260,7 @@
 		r.retryRequested = true
 		r.emit(RetryRead{})
 	}
+	r.latestVersion = max(r.latestVersion, m.Version)
 	r.updateQuotaFleet()
 	up := time.Duration(m.UpMS) * time.Millisecond
 	r.joinedRunningFleet = r.joinedRunningFleet || up > r.now.Sub(r.startedAt)+jointStartTolerance
--- a/pkg/relay/roles.go
+++ b/pkg/relay/roles.go
@@ -210,10 +210,15 @@
 // are hashed onto them.
 const fencesPerRevision = 1 << 12
 
+// fencesPerEra is the number of distinct fencing tokens per era of the store, in which
+// revisions are assigned again from a lower one. Tokens stay below 2^53, up to which JSON
+// readers keep numbers exactly.
+const fencesPerEra = 1 << 44
+
 // fencingToken returns a token that grows with the revision of the platform's store,
 // which all hosts read, and differs between hosts at the same revision.
 func (r *Relay) fencingToken() uint64 {
-	return r.storeRevision*fencesPerRevision + xxhash.Sum64String(string(r.cfg.Roster.Self.ID))%fencesPerRevision
+	return r.storeEra*fencesPerEra + r.storeRevision*fencesPerRevision + xxhash.Sum64String(string(r.cfg.Roster.Self.ID))%fencesPerRevision
 }
 
 // orderAnswered drops an order that was refused. An order without an answer is kept,
--- a/pkg/relayhost/sharing.go
+++ b/pkg/relayhost/sharing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -39,6 +40,7 @@
 	Prefix string `cbor:"1,keyasint"`
 	After  uint64 `cbor:"2,keyasint"`
 	WaitMS int64  `cbor:"3,keyasint"`
+	Era    uint64 `cbor:"4,keyasint,omitempty"` // of After
 }
 
 // mirrorHandler serves this host's copy of the store to other hosts.
@@ -51,7 +53,7 @@
 	mux.Handle(waitProcedure, connect.NewUnaryHandler(waitProcedure,
 		func(ctx context.Context, req *connect.Request[waitRequest]) (*connect.Response[follow.Page], error) {
 			wait := time.Duration(req.Msg.WaitMS) * time.Millisecond
-			return pageResponse(m.Wait(ctx, req.Msg.Prefix, req.Msg.After, wait))
+			return pageResponse(m.Wait(ctx, req.Msg.Prefix, follow.Position{Era: req.Msg.Era, Revision: req.Msg.After}, wait))
 		}, connect.WithCodec(cborcodec.Codec{})))
 	return mux
 }
@@ -75,6 +77,7 @@
 	log    *zap.Logger
 
 	mu      sync.Mutex
+	era     uint64                   // latest era of the store that was seen
 	readers map[string]*readerClient // by address
 }
 
@@ -117,25 +120,47 @@
 		call, cancel := context.WithTimeout(ctx, readerSlack)
 		defer cancel()
 		resp, err := s.client(reader.Addr).list.CallUnary(call, connect.NewRequest(&listRequest{prefix, after}))
+		if err == nil {
+			err = s.checkEra(*resp.Msg)
+		}
 		if err == nil {
 			return *resp.Msg, nil
 		}
 		s.readerFailed(reader, err)
 	}
-	return s.direct.List(ctx, prefix, after)
+	p, err := s.direct.List(ctx, prefix, after)
+	if err == nil {
+		err = s.checkEra(p)
+	}
+	return p, err
+}
+
+// checkEra returns an error for a page of an earlier era than one that was seen before:
+// a reader may not have noticed yet that the store was restored.
+func (s *sharedSource) checkEra(p follow.Page) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.Era < s.era {
+		return fmt.Errorf("page of era %d of the store, era %d has begun", p.Era, s.era)
+	}
+	s.era = p.Era
+	return nil
 }
 
 // Wait waits for changes under a prefix.
-func (s *sharedSource) Wait(ctx context.Context, prefix string, after uint64, wait time.Duration) (follow.Page, error) {
+func (s *sharedSource) Wait(ctx context.Context, prefix string, after follow.Position, wait time.Duration) (follow.Page, error) {
 	reader, ok := s.core.reader()
 	if !ok {
-		return s.direct.Wait(ctx, prefix, after, s.core.readWait(wait))
+		return s.waitDirect(ctx, prefix, after, s.core.readWait(wait))
 	}
 	wait = min(wait, readerWait)
 	call, cancel := context.WithTimeout(ctx, wait+readerSlack)
 	defer cancel()
 	resp, err := s.client(reader.Addr).wait.CallUnary(call,
-		connect.NewRequest(&waitRequest{prefix, after, wait.Milliseconds()}))
+		connect.NewRequest(&waitRequest{prefix, after.Revision, wait.Milliseconds(), after.Era}))
+	if err == nil {
+		err = s.checkEra(*resp.Msg)
+	}
 	switch {
 	case err == nil:
 		s.core.readerAnswered(reader.Host, resp.Msg.Age)
@@ -144,7 +169,15 @@
 		return follow.Page{}, follow.ErrCompacted
 	}
 	s.readerFailed(reader, err)
-	return s.direct.Wait(ctx, prefix, after, 0)
+	return s.waitDirect(ctx, prefix, after, 0)
+}
+
+func (s *sharedSource) waitDirect(ctx context.Context, prefix string, after follow.Position, wait time.Duration) (follow.Page, error) {
+	p, err := s.direct.Wait(ctx, prefix, after, wait)
+	if err == nil {
+		err = s.checkEra(p)
+	}
+	return p, err
 }
 
 func (s *sharedSource) readerFailed(r relay.Reader, err error) {
--- a/pkg/relayhost/store.go
+++ b/pkg/relayhost/store.go
@@ -18,7 +18,7 @@
 }
 
 // Replace passes on all listed entries, and the configuration if it is listed.
-func (s *storeSink) Replace(items []follow.Item) {
+func (s *storeSink) Replace(items []follow.Item, at follow.Position) {
 	var entries []backends.Entry
 	for _, it := range items {
 		if it.Key == s.host.decoder.ConfigKey() {
@@ -29,7 +29,7 @@
 			entries = append(entries, e)
 		}
 	}
-	s.host.core.step(relay.EntriesListed{Entries: entries})
+	s.host.core.step(relay.EntriesListed{Entries: entries, Era: at.Era})
 }
 
 // Change passes on individual changes.
@@ -79,13 +79,13 @@
 }
 
 // Contact reports a successful read.
-func (s *storeSink) Contact(sent time.Time, revision uint64) {
+func (s *storeSink) Contact(sent time.Time, at follow.Position) {
 	if s.failing {
 		s.failing = false
-		s.host.log.Info("store: reads succeed again", zap.Uint64("revision", revision))
+		s.host.log.Info("store: reads succeed again", zap.Uint64("era", at.Era), zap.Uint64("revision", at.Revision))
 	}
 	s.host.metrics.storeReads.Inc()
-	s.host.core.step(relay.PlatformReadSucceeded{Sent: sent, Revision: revision})
+	s.host.core.step(relay.PlatformReadSucceeded{Sent: sent, Era: at.Era, Revision: at.Revision})
 }
 
 // Failed reports a failed read. Only the first failure in a row is logged as
@@ -96,6 +96,10 @@
 		s.host.log.Info("store: history compacted, listing again")
 		return
 	}
+	if errors.Is(err, follow.ErrRestored) {
+		s.host.log.Warn("store: restored from an older copy, listing again", zap.Error(err))
+		return
+	}
 	if !s.failing {
 		s.failing = true
 		s.host.log.Warn("store: read failed", zap.Error(err))
