--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -109,6 +109,7 @@
 		return
 	}
 	defer s.Close()
+	s.Progress(c.idleTimeout, maxResponseBytes)
 	r.Status = s.Status
 	if s.Status != fasthttp.StatusOK {
 		r.readRefusal(s, s.Header("Retry-After"))
@@ -144,6 +145,7 @@
 	lines.Buffer(make([]byte, 0, 4<<10), maxResponseBytes)
 	last := time.Duration(0)
 	for lines.Scan() {
+		s.Progress(c.idleTimeout, maxResponseBytes)
 		data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data:"))
 		if !ok {
 			continue // blank line or comment
--- a/pkg/catalog/types.go
+++ b/pkg/catalog/types.go
@@ -37,6 +37,7 @@
 	Public        bool          // no API key is required
 	Timeout       time.Duration // longest time that a request may wait; 0 means no limit
 	LatencyTarget time.Duration // latency to the response or first event up to which it has its full value
+	EventGap      time.Duration // longest gap between the events of a stream that is on time; 0 if not stated
 	Priority      int           // 0 is the most urgent
 	MaxAttempts   int           // number of backend servers that a request may be sent to
 	Split         []Share
--- a/pkg/engine/enginehttp/decode.go
+++ b/pkg/engine/enginehttp/decode.go
@@ -36,6 +36,7 @@
 		return connError("decode", c.conn.Addr(), err)
 	}
 	defer s.Close()
+	s.Progress(c.opt.ChunkTimeout, maxLineBytes)
 	if s.Status < 200 || s.Status > 299 {
 		body, _ := io.ReadAll(io.LimitReader(s, maxErrorBodyBytes))
 		return statusError("decode", c.conn.Addr(), s.Status, body)
@@ -50,6 +51,7 @@
 	scanner.Buffer(make([]byte, 0, 4<<10), maxLineBytes)
 	scanner.Split(scanTerminatedLines)
 	for scanner.Scan() {
+		s.Progress(c.opt.ChunkTimeout, maxLineBytes)
 		if len(scanner.Bytes()) == 0 {
 			continue // keep-alive
 		}
--- a/pkg/relay/effect.go
+++ b/pkg/relay/effect.go
@@ -79,8 +79,11 @@
 	Hold         string
 	Source       *backends.Target // prefill engine; nil if the decode engine does the prefill itself
 	Handle       string
-	Resume       bool          // continue after the last event relayed
-	ReadTimeout  time.Duration // longest wait for the next bytes; 0 for no bound
+	Resume       bool // continue after the last event relayed
+	// FirstEvent and NextEvent are the longest waits for a complete event, the first one
+	// and each later one; 0 for no bound.
+	FirstEvent time.Duration
+	NextEvent  time.Duration
 }
 
 // ReleaseReservation releases memory reserved at a decode engine.
--- a/pkg/relay/staged.go
+++ b/pkg/relay/staged.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
+	"github.com/mulberrystream/mulberrystream/pkg/catalog"
 	"github.com/mulberrystream/mulberrystream/pkg/fairqueue"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 	"github.com/mulberrystream/mulberrystream/pkg/outputlen"
@@ -233,15 +234,27 @@
 		d.Source, d.Handle = &source, q.kvHandle
 	}
 	if q.retryable() && q.runs+1 < q.route.MaxAttempts {
-		d.ReadTimeout = firstEventTimeout
+		d.FirstEvent = firstEventTimeout
+		d.NextEvent = stallTimeout(q.route)
 		if q.localPrefill {
-			d.ReadTimeout += r.ownPrefillTime(q) * localPrefillFactor
+			d.FirstEvent += r.ownPrefillTime(q) * localPrefillFactor
 		}
 	}
 	q.reservation, q.kvHandle = "", ""
 	r.emit(d)
 }
 
+// stallTimeout returns how long a stream that another engine can resume may go without an
+// event before it is moved: half of the time after which callers abandon it. An engine that
+// is only slow keeps its stream, and a stream that is moved reaches its caller in time.
+func stallTimeout(route *catalog.Route) time.Duration {
+	patience := max(minCallerPatience, 4*route.LatencyTarget, 8*route.EventGap)
+	return patience / 2
+}
+
+// minCallerPatience is the shortest gap in a stream after which callers abandon it.
+const minCallerPatience = 2 * time.Second
+
 // localPrefillFactor is the ratio of the prefill time at a decode engine to that at a
 // prefill engine.
 const localPrefillFactor = 4
--- a/pkg/relayhost/clients.go
+++ b/pkg/relayhost/clients.go
@@ -32,13 +32,24 @@
 		IdleTimeout:    8 * time.Second,
 		MaxIdle:        16,
 		MaxConns:       256,
-		MaxBody:        8 << 20,
+		MaxBody:        maxAnswerBytes,
 		UnackedTimeout: time.Second,
 	}
 }
 
-func newClients() *clients {
-	return &clients{options: clientOptions(), byAddr: map[string]*cachedClient{}}
+// maxAnswerBytes limits an answer that is not streamed.
+const maxAnswerBytes = 8 << 20
+
+// answerMemoryShare is the share of the memory limit that large answers may use together.
+const answerMemoryShare = 1.0 / 8
+
+// newClients returns clients for a process with a memory limit in bytes, or none if it is 0.
+func newClients(memoryLimit int64) *clients {
+	o := clientOptions()
+	if memoryLimit > 0 {
+		o.Budget = sendonce.NewBudget(int64(float64(memoryLimit) * answerMemoryShare))
+	}
+	return &clients{options: o, byAddr: map[string]*cachedClient{}}
 }
 
 // forAddr returns the client of an address.
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -79,7 +79,7 @@
 		log:        newLogger(os.Stdout, cfg.LogLevel, string(cfg.Relay.Roster.Self.ID)),
 		dialect:    cfg.Dialect,
 		decoder:    cfg.Decoder,
-		clients:    newClients(),
+		clients:    newClients(cfg.MemoryBytes),
 		metrics:    newHostMetrics(),
 		bodyBudget: newBodyBudget(cfg.MemoryBytes),
 		seeds:      cfg.Relay.Roster.Seeds,
--- a/pkg/relayhost/log.go
+++ b/pkg/relayhost/log.go
@@ -120,6 +120,7 @@
 
 // logCallError logs a call without a usable answer.
 func (h *Host) logCallError(err error, requestID string, to backends.Target) {
+	h.metrics.countCallFailure(err)
 	h.log.Info("relayhost: call failed",
 		zap.String("request_id", requestID),
 		zap.String("backend", string(to.ID)),
--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -1,12 +1,17 @@
 package relayhost
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/valyala/fasthttp"
 
 	"github.com/mulberrystream/mulberrystream/pkg/relay"
+	"github.com/mulberrystream/mulberrystream/pkg/sendonce"
 )
 
 // hostMetrics holds the counters and histograms of a host.
@@ -33,6 +38,31 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`mulberrystream_answers_total{status="%d"}`, status)).Inc()
 }
 
+// countCallFailure counts a call to a backend server without a usable answer.
+func (m *hostMetrics) countCallFailure(err error) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`mulberrystream_call_failures_total{cause=%q}`, failureCause(err))).Inc()
+}
+
+// failureCause returns the cause of a failed call as the value of a metric's label.
+func failureCause(err error) string {
+	var netErr net.Error
+	var failed *sendonce.Error
+	switch {
+	case errors.Is(err, sendonce.ErrTooLong), errors.Is(err, sendonce.ErrOverBudget),
+		errors.Is(err, fasthttp.ErrBodyTooLarge), errors.As(err, new(*fasthttp.ErrSmallBuffer)):
+		return "too long"
+	case errors.Is(err, errDeadline), errors.Is(err, context.DeadlineExceeded):
+		return "deadline"
+	case errors.Is(err, context.Canceled):
+		return "caller left"
+	case errors.As(err, &failed) && failed.Step == "connect":
+		return "connect"
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
+		return "connection"
+	}
+	return "malformed"
+}
+
 // countDecision counts a decision and records its duration.
 func (m *hostMetrics) countDecision(d relay.Decision) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`mulberrystream_decisions_total{step=%q}`, d.Step)).Inc()
--- a/pkg/relayhost/stream.go
+++ b/pkg/relayhost/stream.go
@@ -15,6 +15,9 @@
 // maxErrorBodyBytes limits the body of an error answer from an engine.
 const maxErrorBodyBytes = 64 << 10
 
+// framingBytes allows for the chunk headers of an error answer.
+const framingBytes = 4 << 10
+
 // decode sends the request to a decode engine and relays its events to the caller.
 func (x *exchange) decode(e relay.Decode) relay.CallEnded {
 	ended := relay.CallEnded{ID: e.ID, Attempt: e.Attempt.Attempt}
@@ -28,7 +31,7 @@
 	}
 	ctx, cancel := x.withDeadline(e.Deadline.Add(answerGrace))
 	defer cancel()
-	s, err := x.host.clients.forAddr(e.To.Addr).Stream(ctx, x.newRequest(f), e.ReadTimeout)
+	s, err := x.host.clients.forAddr(e.To.Addr).Stream(ctx, x.newRequest(f), e.FirstEvent)
 	if err == nil {
 		defer s.Close()
 		ended.Status = s.Status
@@ -50,9 +53,13 @@
 	if o != relay.Succeeded {
 		return o, x.bufferStream(s)
 	}
-	events := eventstream.NewReader(s)
+	events, before := eventstream.NewReader(s), x.eventsRelayed
 	for {
 		block, err := events.Next()
+		if errors.Is(err, io.EOF) && s.EndsWithConnection() && (len(block) > 0 || x.eventsRelayed == before) {
+			// A complete answer ends with an event.
+			return relay.Lost, io.ErrUnexpectedEOF
+		}
 		if len(block) > 0 {
 			if !x.headerSent {
 				x.sendHeader(e, s)
@@ -66,9 +73,7 @@
 			if first {
 				x.host.core.step(relay.StreamStarted{ID: e.ID, Attempt: e.Attempt.Attempt})
 			}
-			if e.ReadTimeout > 0 {
-				s.SetReadTimeout(eventTimeout)
-			}
+			s.Progress(e.NextEvent, maxBytesPerEvent)
 		}
 		if errors.Is(err, io.EOF) {
 			if !x.headerSent {
@@ -82,14 +87,13 @@
 	}
 }
 
-// eventTimeout is the longest wait for the next bytes of a started stream that another
-// engine can resume. After it the stream is moved to another engine. Engines send several
-// events a second.
-const eventTimeout = 900 * time.Millisecond
+// maxBytesPerEvent limits the bytes between two events with their framing.
+const maxBytesPerEvent = 2 * eventstream.MaxEvent
 
 // bufferStream buffers an error answer for delivery.
 func (x *exchange) bufferStream(s *sendonce.Stream) error {
-	body, err := io.ReadAll(io.LimitReader(s, maxErrorBodyBytes))
+	s.Progress(0, framingBytes+maxErrorBodyBytes)
+	body, err := io.ReadAll(s)
 	if err != nil {
 		return err
 	}
--- a/pkg/sendonce/client.go
+++ b/pkg/sendonce/client.go
@@ -18,6 +18,10 @@
 // ErrTooManyConns is returned when the client already has MaxConns connections.
 var ErrTooManyConns = errors.New("too many connections")
 
+// ErrTooLong is returned when a peer sends more bytes than the response may have, such as
+// a chunk extension or a body that does not end.
+var ErrTooLong = errors.New("response too long")
+
 // ErrClosed is returned by calls after Close.
 var ErrClosed = errors.New("client closed")
 
@@ -29,6 +33,9 @@
 	MaxConns    int           // 1024 concurrent calls; further ones fail unsent
 	MaxBody     int           // 16 MiB; bytes of a response that is not streamed
 	BufferSize  int           // 4 KiB; read buffer, also the largest header
+	// Budget bounds the memory of large responses of all clients that share it. Without
+	// one, peers that send endless responses can each use MaxBody.
+	Budget *Budget
 	// UnackedTimeout closes a connection when the peer has not acknowledged sent data
 	// for that long, for example in a network partition. By default the kernel
 	// decides, which takes minutes.
@@ -119,7 +126,11 @@
 		return c.wrapError(ctx, "connect", nil, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.nc.Close() })
+	cn.expect(time.Time{}, framingFactor*c.opt.MaxBody+c.opt.BufferSize)
+	cn.account = c.opt.Budget.newAccount()
 	step, err := c.roundTrip(cn, req, resp)
+	cn.account.close()
+	cn.account = nil
 	if !stop() && err == nil {
 		// The response is complete, but ctx ended and the connection has been closed.
 		c.drop(cn)
@@ -133,6 +144,10 @@
 	return nil
 }
 
+// framingFactor is how many times longer than its body a response may be with its chunk
+// headers.
+const framingFactor = 2
+
 // writerPool holds write buffers, which are only needed while a request is written.
 var writerPool = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, 4<<10) }}
 
--- a/pkg/sendonce/conn.go
+++ b/pkg/sendonce/conn.go
@@ -11,11 +11,12 @@
 // conn is a connection with its read buffer. It counts the bytes of the current request
 // that the kernel accepted, which shows whether the peer may have received any.
 type conn struct {
-	nc          net.Conn
-	br          *bufio.Reader
-	written     atomic.Int64
-	readTimeout time.Duration // limit for each read; 0 means none
-	idleSince   time.Time
+	nc        net.Conn
+	br        *bufio.Reader
+	written   atomic.Int64
+	bytesLeft int      // that may still be read, see expect
+	account   *account // of the current response; nil if it is streamed
+	idleSince time.Time
 }
 
 func newConn(nc net.Conn, bufferSize int) *conn {
@@ -24,14 +25,25 @@
 	return c
 }
 
-// Read reads from the connection within the read timeout.
+// expect limits the bytes that may be read from now on, and the time until when unless it
+// is zero. Bytes that a reader discards, such as chunk extensions, count too.
+func (c *conn) expect(deadline time.Time, bytes int) {
+	c.bytesLeft = bytes
+	// It fails only on a closed connection, on which the next read fails as well.
+	_ = c.nc.SetReadDeadline(deadline)
+}
+
+// Read reads from the connection within the limits of expect.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.readTimeout > 0 {
-		if err := c.nc.SetReadDeadline(time.Now().Add(c.readTimeout)); err != nil {
-			return 0, err
-		}
+	if c.bytesLeft <= 0 {
+		return 0, ErrTooLong
 	}
-	return c.nc.Read(p)
+	n, err := c.nc.Read(p[:min(len(p), c.bytesLeft)])
+	c.bytesLeft -= n
+	if !c.account.take(n) {
+		return 0, ErrOverBudget
+	}
+	return n, err
 }
 
 // Write counts the bytes that the kernel accepted, even if the write fails.
@@ -69,6 +81,5 @@
 // reset prepares an idle connection for the next request.
 func (c *conn) reset() error {
 	c.written.Store(0)
-	c.readTimeout = 0
 	return c.nc.SetDeadline(time.Time{})
 }
--- a/pkg/sendonce/stream.go
+++ b/pkg/sendonce/stream.go
@@ -24,20 +24,20 @@
 	closeOnce sync.Once
 }
 
-// Stream sends req at most once and returns when the response header has arrived. A
-// read that waits longer than readTimeout fails, which detects a stalled connection.
+// Stream sends req at most once and returns when the response header has arrived. It fails
+// if that takes longer than progressTimeout, unless that is 0; see Progress for the body.
 // The stream is aborted when ctx ends, and it takes ownership of req.
-func (c *Client) Stream(ctx context.Context, req *fasthttp.Request, readTimeout time.Duration) (*Stream, error) {
+func (c *Client) Stream(ctx context.Context, req *fasthttp.Request, progressTimeout time.Duration) (*Stream, error) {
 	cn, err := c.acquire(ctx)
 	if err != nil {
 		fasthttp.ReleaseRequest(req)
 		return nil, c.wrapError(ctx, "connect", nil, err)
 	}
-	cn.readTimeout = readTimeout
 	resp := fasthttp.AcquireResponse()
 	resp.StreamBody = true
 	s := &Stream{client: c, cn: cn, ctx: ctx, req: req, resp: resp}
 	s.stop = context.AfterFunc(ctx, func() { _ = cn.nc.Close() })
+	s.Progress(progressTimeout, maxUnread)
 	step, err := c.roundTrip(cn, req, resp)
 	if err != nil {
 		s.Close()
@@ -52,9 +52,24 @@
 	return string(s.resp.Header.Peek(name))
 }
 
-// SetReadTimeout sets the time limit for each later read. d must be positive: 0 would
-// leave the deadline of the previous read in place.
-func (s *Stream) SetReadTimeout(d time.Duration) { s.cn.readTimeout = d }
+// maxUnread is the number of bytes that may arrive until the first call of Progress.
+const maxUnread = 64 << 10
+
+// Progress records that the body has made progress: from now on, the stream fails if the
+// next progress takes longer than d, unless d is 0, or more than the given bytes. Bytes
+// that arrive in between do not extend the time, so a peer that sends meaningless bytes
+// cannot keep a stream open.
+func (s *Stream) Progress(d time.Duration, bytes int) {
+	var deadline time.Time
+	if d > 0 {
+		deadline = time.Now().Add(d)
+	}
+	s.cn.expect(deadline, bytes)
+}
+
+// EndsWithConnection reports whether the body has no length and ends when the peer closes
+// the connection, so that a body that was cut off looks like a complete one.
+func (s *Stream) EndsWithConnection() bool { return s.resp.Header.ContentLength() < -1 }
 
 // Headers returns all response headers.
 func (s *Stream) Headers() iter.Seq2[[]byte, []byte] { return s.resp.Header.All() }
@@ -80,7 +95,7 @@
 // Drain waits at most d for the end of the body, so that the connection can be reused.
 // It is for callers that have already read all the data they need.
 func (s *Stream) Drain(d time.Duration) {
-	s.cn.readTimeout = d
+	s.Progress(d, maxUnread)
 	var b [1]byte
 	_, _ = s.Read(b[:])
 }
