--- a/pkg/relayhost/calls.go
+++ b/pkg/relayhost/calls.go
@@ -121,14 +121,14 @@
 	req := fasthttp.AcquireRequest()
 	x.host.dialect.Reserve(req, e.To.ID, e.Tokens, e.TTL)
 	req.Header.SetHost(e.To.Addr)
-	hold, o := x.controlCall(e.Attempt, req, x.host.dialect.ParseReservation)
+	hold, o := x.controlCall(e.Attempt, req, "", x.host.dialect.ParseReservation)
 	return relay.Reserved{ID: e.ID, Attempt: e.Attempt.Attempt, Outcome: o, Hold: hold}
 }
 
 func (x *exchange) prefill(e relay.Prefill) relay.Event {
 	begin := boottime.Now()
 	req := x.newRequest(Forward{To: e.To.ID, TimeLeft: timeLeft(e.Deadline), Organisation: e.Organisation, Prefill: true})
-	handle, o := x.controlCall(e.Attempt, req, x.host.dialect.ParsePrefill)
+	handle, o := x.controlCall(e.Attempt, req, x.spec.RequestID, x.host.dialect.ParsePrefill)
 	return relay.Prefilled{
 		ID: e.ID, Attempt: e.Attempt.Attempt, Outcome: o, Handle: handle,
 		Took: boottime.Now().Sub(begin),
@@ -136,8 +136,9 @@
 }
 
 // controlCall makes a reserve or prefill call and returns the reservation or KV cache
-// handle that read finds in its answer. It releases req.
-func (x *exchange) controlCall(a relay.Attempt, req *fasthttp.Request, parse func([]byte) (string, error)) (string, relay.Outcome) {
+// handle that parse finds in its answer. requestID is the ID that req carries, if any. It
+// releases req.
+func (x *exchange) controlCall(a relay.Attempt, req *fasthttp.Request, requestID string, parse func([]byte) (string, error)) (string, relay.Outcome) {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -151,7 +152,7 @@
 		}
 		return "", o
 	}
-	if o := x.host.dialect.ClassifyCall(answerOf(resp)); o != relay.Succeeded {
+	if o := x.host.dialect.ClassifyCall(answerOf(resp), requestID); o != relay.Succeeded {
 		return "", o
 	}
 	id, err := parse(resp.Body())
--- a/pkg/relayhost/dialect.go
+++ b/pkg/relayhost/dialect.go
@@ -42,7 +42,8 @@
 	// complete answer or of the header of a stream.
 	Classify(a Answer, requestID string) relay.Outcome
 	// ClassifyCall returns the outcome of the answer to one of the router's own calls.
-	ClassifyCall(a Answer) relay.Outcome
+	// requestID is the ID that the call carried; empty if it carried none.
+	ClassifyCall(a Answer, requestID string) relay.Outcome
 
 	// Reserve writes a call that reserves decode memory.
 	Reserve(req *fasthttp.Request, to ident.BackendID, tokens int64, ttl time.Duration)
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -309,7 +309,7 @@
 		h.dialect.RoleOrder(req, e.To.ID, e.Stage, h.cfg.Relay.Roster.Self.ID, e.FencingToken)
 	}
 	h.callInBackground(e.To, write, func(a Answer, err error) {
-		ok := err == nil && h.dialect.ClassifyCall(a) == relay.Succeeded
+		ok := err == nil && h.dialect.ClassifyCall(a, "") == relay.Succeeded
 		h.core.step(relay.RoleOrderAnswered{Backend: e.To.ID, OK: ok, Status: a.Status})
 	})
 }
