--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -65,6 +65,7 @@
 	metrics    *hostMetrics
 	seeds      []string // currently in use
 	bodyBudget *bodyBudget
+	active     *activeConns
 }
 
 // memoryLimitShare is the share of the memory limit that is set as the soft limit of the Go
@@ -83,6 +84,7 @@
 		metrics:    newHostMetrics(),
 		bodyBudget: newBodyBudget(cfg.MemoryBytes),
 		seeds:      cfg.Relay.Roster.Seeds,
+		active:     newActiveConns(),
 	}
 	if cfg.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(cfg.MemoryBytes) * memoryLimitShare))
@@ -188,6 +190,9 @@
 			MaxHeaderBytes:    maxHeaderBytes,
 			ErrorLog:          zap.NewStdLog(h.log.WithOptions(zap.IncreaseLevel(zapcore.ErrorLevel))),
 		}
+		if l.addr == h.cfg.CallerAddr {
+			s.ConnState = h.active.connState
+		}
 		servers = append(servers, s)
 		g.Go(func() error {
 			if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
@@ -226,9 +231,11 @@
 // exitMargin is how long before the end of the grace period the process exits by itself.
 const exitMargin = 150 * time.Millisecond
 
-// waitForStop reloads settings and handles signals until the process may exit.
+// waitForStop reloads settings and handles signals until the process may exit: every
+// request has been answered, or the grace period is over.
 func (h *Host) waitForStop(ctx context.Context, signals <-chan os.Signal, callerServer *http.Server) {
-	var limit <-chan time.Time
+	var graceOver <-chan struct{}
+	grace := ctx
 	settings := time.NewTicker(reloadInterval)
 	defer settings.Stop()
 	for {
@@ -236,8 +243,11 @@
 		case <-ctx.Done():
 			return
 		case <-h.core.exit:
+			// Closes the listener; the answers of the last requests are still being written.
+			go func() { _ = callerServer.Shutdown(grace) }()
+			h.active.wait(grace)
 			return
-		case <-limit:
+		case <-graceOver:
 			h.log.Warn("relayhost: grace period over, aborting requests")
 			return
 		case <-settings.C:
@@ -251,8 +261,11 @@
 				continue
 			}
 			h.log.Info("relayhost: stopping", zap.Stringer("signal", s))
-			if limit == nil {
-				limit = time.After(h.cfg.Grace - exitMargin)
+			if graceOver == nil {
+				var cancel context.CancelFunc
+				grace, cancel = context.WithTimeout(ctx, h.cfg.Grace-exitMargin)
+				defer cancel()
+				graceOver = grace.Done()
 				// Closes idle connections, and the others after their next answer, so that
 				// callers switch to other hosts.
 				callerServer.SetKeepAlivesEnabled(false)
