--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -198,6 +198,23 @@
 // ones keep the bucket low.
 const minBurstShare = 1.0 / 16
 
+const (
+	// smallRequestShare is the part of the burst up to which a request counts as small.
+	smallRequestShare = 1.0 / 64
+	// smallDebtShare is the part of the burst by which small requests may overdraw the
+	// bucket. While an organisation asks for more than its rate, its large requests keep
+	// the bucket at or below zero, and it could hardly make a small one.
+	smallDebtShare = 0.5
+)
+
+// required returns the level at which a request is admitted.
+func (l *Limiter) required(now time.Time, b *bucket, tokens float64) float64 {
+	if tokens > b.limit.Burst*smallRequestShare || l.cfg.Tolerance.Overage*l.cfg.Tolerance.Window.Seconds()*b.limit.Rate < b.limit.Burst {
+		return min(tokens, b.limit.Burst*minBurstShare)
+	}
+	return tokens - l.capacity(now, b)*smallDebtShare
+}
+
 // Take admits a request that costs this many tokens, or returns the time after which
 // enough will be available.
 func (l *Limiter) Take(now time.Time, org ident.Organisation, tokens float64) (ok bool, after time.Duration) {
@@ -206,7 +223,7 @@
 		return true, 0
 	}
 	l.refill(now, b)
-	if missing := min(tokens, b.limit.Burst*minBurstShare) - b.level; missing > 0 {
+	if missing := l.required(now, b, tokens) - b.level; missing > 0 {
 		return false, l.refillTime(now, b, missing)
 	}
 	b.level -= tokens
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -226,6 +226,34 @@
 		Expect(admitted).To(BeNumerically("<=", limit.Rate*100+limit.Burst+12_000))
 	})
 
+	// The pattern is one organisation that asks for several times its rate with long prompts
+	// and makes short calls besides, on a large fleet that reports late.
+	It("admit the small requests of an organisation whose large ones exceed its rate, and no more in all", func() {
+		const small = 200
+		f := newFleet(40, limit, 7)
+		f.run(5*time.Second, 0)
+		f.grants = nil
+		asked, got := 0, 0
+		for range 200 {
+			f.run(100*time.Millisecond, 4)
+			for range 4 { // 8,000 tokens a second
+				asked++
+				if ok, _ := f.hosts[f.rnd.IntN(len(f.hosts))].limiter.Take(f.now, org, small); ok {
+					got++
+					f.grants = append(f.grants, grant{f.now, small})
+				}
+			}
+		}
+		Expect(float64(got)).To(BeNumerically(">", 0.95*float64(asked)))
+		Expect(f.maxAdmitted(window)).To(BeNumerically("<", bound(limit)))
+		admitted := 0.0
+		for _, g := range f.grants {
+			admitted += g.tokens
+		}
+		Expect(admitted).To(BeNumerically("<", limit.Rate*20*1.25+limit.Burst))
+		Expect(admitted).To(BeNumerically(">", limit.Rate*20*0.9))
+	})
+
 	It("do not count the tokens of an organisation without a limit", func() {
 		l := quota.New(quota.DefaultConfig(), time.Unix(1000, 0))
 		ok, _ := l.Take(time.Unix(1000, 0), org, 1e12)
