--- a/pkg/follow/mirror.go
+++ b/pkg/follow/mirror.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"sync"
@@ -21,6 +22,7 @@
 	era          uint64        // of the copy; all revisions here are of it
 	revision     uint64        // revision of the copy
 	historyStart uint64        // history holds all changes after this revision
+	announced    Position      // position of the last notification of changed
 	asOf         time.Time     // the copy is at least as recent as this
 	failing      bool          // the last read failed
 	changed      chan struct{} // closed when the copy changes or a read fails
@@ -48,9 +50,7 @@
 		m.items[it.Key] = it
 	}
 	m.history = nil
-	m.historyStart = 0 // set by Contact, which knows the revision of the list
-	m.era = at.Era
-	m.revision = 0
+	m.era, m.revision, m.historyStart = at.Era, at.Revision, at.Revision
 	m.mu.Unlock()
 	m.next.Replace(items, at)
 }
@@ -77,16 +77,13 @@
 // Contact updates the age and the revision of the copy.
 func (m *Mirror) Contact(sent time.Time, at Position) {
 	m.mu.Lock()
-	if m.revision == 0 {
-		m.historyStart = at.Revision
-	}
-	changed := at.Revision != m.revision
 	m.failing = false
 	m.revision = at.Revision
 	if sent.After(m.asOf) {
 		m.asOf = sent
 	}
-	if changed {
+	if m.revision != m.announced.Revision || m.era != m.announced.Era {
+		m.announced = at
 		close(m.changed)
 		m.changed = make(chan struct{})
 	}
@@ -95,13 +92,17 @@
 }
 
 // Failed records a failed read. Until the next successful one the mirror returns
-// ErrNotReady, so that hosts that can read the store do so themselves.
+// ErrNotReady, so that hosts that can read the store do so themselves. A store that only
+// requires a new list is not unreachable: if all hosts listed it then, instead of their
+// mirrors, they would overload it.
 func (m *Mirror) Failed(err error) {
-	m.mu.Lock()
-	m.failing = true
-	close(m.changed)
-	m.changed = make(chan struct{})
-	m.mu.Unlock()
+	if !errors.Is(err, ErrCompacted) && !errors.Is(err, ErrRestored) {
+		m.mu.Lock()
+		m.failing = true
+		close(m.changed)
+		m.changed = make(chan struct{})
+		m.mu.Unlock()
+	}
 	m.next.Failed(err)
 }
 
--- a/pkg/follow/mirror_test.go
+++ b/pkg/follow/mirror_test.go
@@ -37,7 +37,7 @@
 	})
 
 	It("is not ready while its own reads fail, and tells waiting callers at once", func() {
-		m.Replace(nil, follow.Position{})
+		m.Replace(nil, follow.Position{Revision: 3})
 		m.Contact(now, follow.Position{Revision: 3})
 		got := make(chan error)
 		go func() {
@@ -53,6 +53,28 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	// Guards against a whole fleet that lists the store at once because its history was
+	// dropped: the hosts' mirrors have to list it again, and they do so in milliseconds.
+	It("serves its copy while it lists the store again, and then has its readers list the mirror", func() {
+		m.Replace([]follow.Item{item("a", 3)}, follow.Position{Revision: 3})
+		m.Contact(now, follow.Position{Revision: 3})
+		for _, err := range []error{follow.ErrCompacted, follow.ErrRestored} {
+			m.Failed(err)
+			p, err := m.List(ctx, "", "")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(p.Items).To(HaveLen(1))
+			_, err = m.Wait(ctx, "", follow.Position{Revision: 3}, 0)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		m.Replace([]follow.Item{item("a", 3), item("b", 9)}, follow.Position{Revision: 9})
+		p, err := m.List(ctx, "", "")
+		Expect(err).NotTo(HaveOccurred(), "there is a copy between the list and the report of contact")
+		Expect(p.At).To(Equal(uint64(9)))
+		m.Contact(now, follow.Position{Revision: 9})
+		_, err = m.Wait(ctx, "", follow.Position{Revision: 3}, 0)
+		Expect(err).To(MatchError(follow.ErrCompacted))
+	})
+
 	It("does not mix the revisions of two eras of the store", func() {
 		m.Replace(nil, follow.Position{Revision: 50})
 		m.Contact(now, follow.Position{Revision: 50})
@@ -75,7 +97,7 @@
 		for i := range 450 {
 			items = append(items, item(fmt.Sprintf("k%03d", i), 3))
 		}
-		m.Replace(items, follow.Position{})
+		m.Replace(items, follow.Position{Revision: 3})
 		m.Contact(now, follow.Position{Revision: 3})
 		now = now.Add(700 * time.Millisecond)
 		got, after := 0, ""
@@ -94,7 +116,7 @@
 	})
 
 	It("wakes waiting callers when there are changes", func() {
-		m.Replace(nil, follow.Position{})
+		m.Replace(nil, follow.Position{Revision: 3})
 		m.Contact(now, follow.Position{Revision: 3})
 		got := make(chan follow.Page)
 		go func() {
@@ -112,7 +134,7 @@
 	})
 
 	It("reports a compacted history after a new list, and for revisions before its history", func() {
-		m.Replace(nil, follow.Position{})
+		m.Replace(nil, follow.Position{Revision: 3})
 		m.Contact(now, follow.Position{Revision: 3})
 		for i := range uint64(1000) {
 			m.Change([]follow.Item{item("a", 4+i)})
@@ -123,7 +145,7 @@
 		p, err := m.Wait(ctx, "", follow.Position{Revision: 1000}, 0)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(p.Items).To(HaveLen(3))
-		m.Replace(nil, follow.Position{})
+		m.Replace(nil, follow.Position{Revision: 2000})
 		m.Contact(now, follow.Position{Revision: 2000})
 		_, err = m.Wait(ctx, "", follow.Position{Revision: 1003}, 0)
 		Expect(err).To(MatchError(follow.ErrCompacted))
@@ -134,7 +156,7 @@
 			rnd := rand.New(rand.NewPCG(seed, 6))
 			now = time.Unix(1000, 0)
 			m = follow.NewMirror(&recordingSink{}, func() time.Time { return now })
-			m.Replace(nil, follow.Position{})
+			m.Replace(nil, follow.Position{Revision: 3})
 			asOf := now.Add(-time.Duration(rnd.IntN(1000)) * time.Millisecond)
 			m.Contact(asOf, follow.Position{Revision: 3})
 			now = now.Add(time.Duration(rnd.IntN(3000)) * time.Millisecond)
