--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -83,6 +83,8 @@
 	refilledAt time.Time
 	used       int64 // tokens admitted by this host since its start
 	reported   int64 // value of used in the last report to the other hosts
+
+	toRelay map[ident.HostID]struct{} // peers with reports that were not relayed yet
 }
 
 type peer struct {
@@ -90,6 +92,8 @@
 	lastReport  time.Time
 	reporting   bool // counted in Limiter.reporting
 	used        map[ident.Organisation]int64
+	sequence    uint64                        // of the last report
+	relayed     map[ident.Organisation]uint64 // sequence of the last relayed use, where it is later
 }
 
 // New returns a limiter with empty buckets. It is not known yet what other hosts have
@@ -315,6 +319,7 @@
 	Host        ident.HostID
 	Incarnation ident.Incarnation
 	Uptime      time.Duration // time since the start of its process
+	Sequence    uint64        // rises with each report of a process
 	Used        map[ident.Organisation]int64
 }
 
@@ -339,8 +344,14 @@
 		p = fresh
 		l.peers[r.Host] = p
 	}
-	l.charge(now, p, r.Used)
-	p.used = r.Used
+	used := p.latest(r)
+	l.charge(now, p, used)
+	for name, b := range l.orgs {
+		if used[name] != p.used[name] {
+			b.markToRelay(r.Host)
+		}
+	}
+	p.used, p.sequence = used, r.Sequence
 }
 
 // charge deducts the tokens that a peer has admitted since its last report, less those
--- /dev/null
+++ b/pkg/relay/accountants.go
@@ -0,0 +1,92 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mulberrystream/mulberrystream/pkg/catalog"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/roster"
+)
+
+// In a large fleet, each organisation has accountants: hosts to which all others report at
+// once what they admit for it, and which relay that to all hosts while little is left of
+// its limit. Without them a host learns of the others' admissions with their next
+// heartbeats, and an organisation that suddenly asks for several times its rate is
+// admitted several times its burst, and then refused until that is paid back.
+const (
+	// accountantsPerOrganisation is the number of accountants, in different failure
+	// domains, so that one is left if a domain is lost.
+	accountantsPerOrganisation = 2
+	// accountantInterval is the heartbeat interval from which on there are accountants.
+	// With a shorter one, hosts send their own heartbeats early.
+	accountantInterval = 250 * time.Millisecond
+	// accountantTTL is how long an assignment is used before it is computed anew.
+	accountantTTL = time.Second
+)
+
+// accountants is the assignment of accountants to organisations as this host sees it.
+type accountants struct {
+	at    time.Time
+	hosts map[ident.Organisation][]roster.Host
+	own   []ident.Organisation // of which this host is an accountant
+}
+
+// hasAccountants reports whether the fleet is so large that organisations have
+// accountants.
+func (r *Relay) hasAccountants() bool { return r.roster.Interval() > accountantInterval }
+
+// assignAccountants renews the assignment if it has expired. All hosts with the same view
+// of the fleet arrive at the same one.
+func (r *Relay) assignAccountants() {
+	if r.snapshot == nil || !r.hasAccountants() || r.now.Sub(r.accountants.at) < accountantTTL {
+		return
+	}
+	r.accountants = accountants{at: r.now, hosts: map[ident.Organisation][]roster.Host{}}
+	alive := append(r.roster.Alive(r.now), r.cfg.Roster.Self)
+	ids := make([]ident.HostID, len(alive))
+	byID := make(map[ident.HostID]roster.Host, len(alive))
+	for i, h := range alive {
+		ids[i], byID[h.ID] = h.ID, h
+	}
+	r.snapshot.Organisations(func(o *catalog.Organisation) {
+		if o.Rate <= 0 {
+			return
+		}
+		var chosen []roster.Host
+		for _, id := range ident.Rank(string(o.Name), ids) {
+			h := byID[id]
+			if slices.ContainsFunc(chosen, func(c roster.Host) bool { return c.Domain == h.Domain }) {
+				continue
+			}
+			chosen = append(chosen, h)
+			if id == r.cfg.Roster.Self.ID {
+				r.accountants.own = append(r.accountants.own, o.Name)
+			}
+			if len(chosen) == accountantsPerOrganisation {
+				break
+			}
+		}
+		r.accountants.hosts[o.Name] = chosen
+	})
+}
+
+// reportToAccountants sends this host's figures to the accountants of an organisation for
+// which it has admitted a request.
+func (r *Relay) reportToAccountants(org ident.Organisation) {
+	r.assignAccountants()
+	for _, h := range r.accountants.hosts[org] {
+		if h.ID != r.cfg.Roster.Self.ID {
+			r.roster.Notify(h.Addr)
+		}
+	}
+}
+
+// limitNewsDue reports whether other hosts should learn at once what was admitted.
+func (r *Relay) limitNewsDue() bool {
+	if (!r.hasAccountants() || !r.roster.Converged(r.now)) && r.quota.ReportDue(r.now) {
+		return true
+	}
+	r.assignAccountants()
+	return r.quota.RelayDue(r.now, r.accountants.own)
+}
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -6,6 +6,7 @@
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
 	"github.com/mulberrystream/mulberrystream/pkg/catalog"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/quota"
 	"github.com/mulberrystream/mulberrystream/pkg/roster"
 )
 
@@ -173,6 +174,8 @@
 	UpMS        int64             `cbor:"7,keyasint,omitempty"` // uptime of the sender's process
 	Unreachable []UnreachableNote `cbor:"8,keyasint,omitempty"` // backend servers that the sender recently failed to reach
 	Version     uint64            `cbor:"9,keyasint,omitempty"` // of the sender's configuration
+	// Relayed are admitted tokens that other hosts reported to the sender, see accountants.
+	Relayed []quota.RelayedUse `cbor:"10,keyasint,omitempty"`
 }
 
 // UnreachableNote names a backend server that the sender failed to reach.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -50,6 +50,7 @@
 	startedAt          time.Time
 	joinedRunningFleet bool // a peer was already running when this host started
 	predictor          *outputlen.Predictor
+	accountants        accountants
 	roles              roles
 	rolesPlannedAt     time.Time
 }
@@ -212,11 +213,13 @@
 
 // sendHeartbeat sends this host's state to the others when a heartbeat is due.
 func (r *Relay) sendHeartbeat() {
-	if r.quota.ReportDue(r.now) || r.backends.HasNewReport() {
+	if r.limitNewsDue() || r.backends.HasNewReport() {
 		r.roster.ExpediteNext()
 	}
 	b, to, all := r.roster.Tick(r.now, !r.drainStartedAt.IsZero())
+	var relayed []quota.RelayedUse
 	if all {
+		relayed = r.quota.Relays(r.now, r.accountants.own)
 		r.quota.MarkReported()
 		r.backends.MarkReported()
 	}
@@ -231,6 +234,7 @@
 		AgeMS:     r.age().Milliseconds(),
 		UpMS:      r.now.Sub(r.startedAt).Milliseconds(),
 		Version:   r.configVersion(),
+		Relayed:   relayed,
 	}
 	for id, l := range r.backends.OwnLoads() {
 		m.Load = append(m.Load, BackendLoad{Backend: id, Requests: l.Requests, Memory: l.Memory, Prompt: l.Prompt})
@@ -264,7 +268,8 @@
 	r.updateQuotaFleet()
 	up := time.Duration(m.UpMS) * time.Millisecond
 	r.joinedRunningFleet = r.joinedRunningFleet || up > r.now.Sub(r.startedAt)+jointStartTolerance
-	r.quota.ApplyReport(r.now, quota.Report{Host: from.ID, Incarnation: from.Incarnation, Uptime: up, Used: m.Used})
+	r.quota.ApplyReport(r.now, quota.Report{Host: from.ID, Incarnation: from.Incarnation, Uptime: up, Sequence: m.Heartbeat.Sequence, Used: m.Used})
+	r.quota.ApplyRelayed(r.now, m.Relayed)
 	loads := make(map[ident.BackendID]backends.Load, len(m.Load))
 	for _, l := range m.Load {
 		loads[l.Backend] = backends.Load{Requests: l.Requests, Memory: l.Memory, Prompt: l.Prompt}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -70,7 +70,7 @@
 	sampleIndex   int       // position in order of the last host in a sample
 	lastJoin      time.Time // last time that a host was added, or the first heartbeat
 	converged     bool      // see Converged
-	newAddrs      []string  // addresses of hosts that joined since the last heartbeat
+	extraAddrs    []string  // hosts that get a heartbeat before the next one to all hosts
 }
 
 type member struct {
@@ -109,17 +109,17 @@
 
 // Tick returns the next heartbeat and the addresses to send it to, if one is due. all
 // reports whether it goes to all hosts. Between two of those, a heartbeat goes to newly
-// joined hosts alone, so that they soon learn of the others.
+// joined hosts alone, so that they soon learn of the others, and to those of Notify.
 func (r *Roster) Tick(now time.Time, leaving bool) (hb Heartbeat, to []string, all bool) {
 	if now.Before(r.nextHeartbeat) {
-		to, r.newAddrs = r.newAddrs, nil
+		to, r.extraAddrs = r.extraAddrs, nil
 		if len(to) == 0 {
 			return Heartbeat{}, nil, false
 		}
 		r.sequence++
 		return Heartbeat{From: r.cfg.Self, Sequence: r.sequence, Leaving: leaving, Known: r.sample(now)}, to, false
 	}
-	r.newAddrs = nil
+	r.extraAddrs = nil
 	if r.lastJoin.IsZero() {
 		r.lastJoin = now
 	}
@@ -150,6 +150,13 @@
 	}
 }
 
+// Notify sends the next heartbeat to an address at once, ahead of the one to all hosts.
+func (r *Roster) Notify(addr string) {
+	if !slices.Contains(r.extraAddrs, addr) {
+		r.extraAddrs = append(r.extraAddrs, addr)
+	}
+}
+
 // unknownSeeds returns the seeds that are not known as hosts, once per seedInterval.
 func (r *Roster) unknownSeeds(now time.Time) []string {
 	if now.Sub(r.lastSeed) < seedInterval {
@@ -202,7 +209,7 @@
 	switch {
 	case m == nil:
 		m = r.add(now, hb.From)
-		r.newAddrs = append(r.newAddrs, hb.From.Addr)
+		r.Notify(hb.From.Addr)
 	case m.Incarnation == hb.From.Incarnation && hb.Sequence <= m.sequence:
 		// A delayed or duplicate heartbeat, unless the host was silent: then it comes
 		// from a new process whose clock was set back and that got the same incarnation.
