--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -50,7 +50,8 @@
 	// mirror's copy when it responded.
 	Mirrored bool
 	Age      time.Duration
-	// Held is how long the store was asked to hold the call if nothing changed.
+	// Held is how long the store was asked to hold the call if nothing changed, or how long
+	// a Mirror has held it.
 	Held time.Duration
 }
 
@@ -251,9 +252,10 @@
 		f.sink.Change(p.Items)
 	}
 	f.at.Revision = max(f.at.Revision, p.At)
-	if !p.Mirrored && len(p.Items) == 0 && f.now().Sub(sent) >= p.Held {
+	if (p.Mirrored || len(p.Items) == 0) && f.now().Sub(sent) >= p.Held {
 		// The store held the call for the whole wait and found no change at its end, so
-		// the copy was current then.
+		// the copy was current then. A mirror states the age of its copy as of the end of
+		// the time for which it held the call.
 		sent = sent.Add(p.Held)
 	}
 	f.sink.Contact(sent.Add(-p.Age), f.at)
--- a/pkg/follow/mirror.go
+++ b/pkg/follow/mirror.go
@@ -24,10 +24,15 @@
 	historyStart uint64        // history holds all changes after this revision
 	announced    Position      // position of the last notification of changed
 	asOf         time.Time     // the copy is at least as recent as this
-	failing      bool          // the last read failed
-	changed      chan struct{} // closed when the copy changes or a read fails
+	failingSince time.Time     // first failed read since the last successful one; zero if there is none
+	changed      chan struct{} // closed when the copy changes
 }
 
+// failureTolerance is how long reads may fail before the mirror returns ErrNotReady. A
+// single failure, such as a watch that was cut, has no effect: the copy's age tells how far
+// it can be trusted, and if all hosts turned to the store then, they would overload it.
+const failureTolerance = time.Second
+
 // maxHistory is the number of changes kept for hosts that reconnect. The changes of a
 // few seconds suffice; a host that was away for longer lists again.
 const maxHistory = 512
@@ -77,7 +82,7 @@
 // Contact updates the age and the revision of the copy.
 func (m *Mirror) Contact(sent time.Time, at Position) {
 	m.mu.Lock()
-	m.failing = false
+	m.failingSince = time.Time{}
 	m.revision = at.Revision
 	if sent.After(m.asOf) {
 		m.asOf = sent
@@ -91,21 +96,26 @@
 	m.next.Contact(sent, at)
 }
 
-// Failed records a failed read. Until the next successful one the mirror returns
-// ErrNotReady, so that hosts that can read the store do so themselves. A store that only
-// requires a new list is not unreachable: if all hosts listed it then, instead of their
-// mirrors, they would overload it.
+// Failed records a failed read. If reads fail for longer than failureTolerance, the mirror
+// returns ErrNotReady until the next successful one, so that hosts that can read the store
+// do so themselves. A store that only requires a new list is not unreachable.
 func (m *Mirror) Failed(err error) {
 	if !errors.Is(err, ErrCompacted) && !errors.Is(err, ErrRestored) {
 		m.mu.Lock()
-		m.failing = true
-		close(m.changed)
-		m.changed = make(chan struct{})
+		if m.failingSince.IsZero() {
+			m.failingSince = m.now()
+		}
 		m.mu.Unlock()
 	}
 	m.next.Failed(err)
 }
 
+// ready reports whether the mirror has a copy that it may serve. The caller must hold the
+// lock.
+func (m *Mirror) ready() bool {
+	return m.revision != 0 && (m.failingSince.IsZero() || m.now().Sub(m.failingSince) < failureTolerance)
+}
+
 // age returns the largest possible age of the copy. The caller must hold the lock.
 func (m *Mirror) age() time.Duration { return m.now().Sub(m.asOf) }
 
@@ -113,7 +123,7 @@
 func (m *Mirror) List(_ context.Context, prefix, after string) (Page, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.revision == 0 || m.failing {
+	if !m.ready() {
 		return Page{}, ErrNotReady
 	}
 	p := Page{At: m.revision, Era: m.era, Mirrored: true, Age: m.age()}
@@ -134,15 +144,21 @@
 func (m *Mirror) Wait(ctx context.Context, prefix string, after Position, wait time.Duration) (Page, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	begin := m.now()
 	for {
+		// Taken before the age, so that the copy is never taken for more recent than it is.
+		held := m.now().Sub(begin)
 		p, changed, err := m.changesSince(prefix, after)
+		p.Held = held
 		if err != nil || len(p.Items) > 0 {
 			return p, err
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
+			held = m.now().Sub(begin)
 			p, _, err = m.changesSince(prefix, after)
+			p.Held = held
 			return p, err
 		case <-ctx.Done():
 			return Page{}, ctx.Err()
@@ -154,7 +170,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
-	case m.revision == 0 || m.failing || after.Era > m.era:
+	case !m.ready() || after.Era > m.era:
 		return Page{}, nil, ErrNotReady
 	case after.Era < m.era || after.Revision < m.historyStart:
 		return Page{}, nil, ErrCompacted
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -84,7 +84,8 @@
 	used       int64 // tokens admitted by this host since its start
 	reported   int64 // value of used in the last report to the other hosts
 
-	toRelay map[ident.HostID]struct{} // peers with reports that were not relayed yet
+	toRelay     map[ident.HostID]struct{} // peers with reports that were not relayed yet
+	relayedUsed int64                     // value of used that was relayed last
 }
 
 type peer struct {
--- a/pkg/quota/relayed.go
+++ b/pkg/quota/relayed.go
@@ -29,23 +29,22 @@
 	b.toRelay[host] = struct{}{}
 }
 
-// RelayDue reports whether reports about one of the organisations should be relayed now.
-func (l *Limiter) RelayDue(now time.Time, orgs []ident.Organisation) bool {
-	return slices.ContainsFunc(orgs, func(org ident.Organisation) bool { return l.relayDue(now, org) })
-}
-
+// relayDue reports whether reports about an organisation should be relayed now.
 func (l *Limiter) relayDue(now time.Time, org ident.Organisation) bool {
 	b := l.orgs[org]
-	if b == nil || b.limit.Rate <= 0 || len(b.toRelay) == 0 {
+	if b == nil || b.limit.Rate <= 0 || len(b.toRelay) == 0 && b.used == b.relayedUsed {
 		return false
 	}
 	l.refill(now, b)
 	return b.level < b.limit.Burst*urgentBurstShare
 }
 
-// Relays returns the reports about the organisations that should be relayed to all hosts.
-func (l *Limiter) Relays(now time.Time, orgs []ident.Organisation) []RelayedUse {
+// Relays returns the reports about the organisations that should be relayed to all hosts
+// now, with this host's own figures. nextReport identifies this host and assigns the
+// sequence of a report to it; it is called only if there is something to relay.
+func (l *Limiter) Relays(now time.Time, orgs []ident.Organisation, nextReport func() Report) []RelayedUse {
 	var uses []RelayedUse
+	var own Report
 	for _, org := range orgs {
 		if !l.relayDue(now, org) {
 			continue
@@ -57,6 +56,11 @@
 			}
 		}
 		clear(b.toRelay)
+		if own.Host == "" {
+			own = nextReport()
+		}
+		uses = append(uses, RelayedUse{Host: own.Host, Incarnation: own.Incarnation, Sequence: own.Sequence, Organisation: org, Used: b.used})
+		b.relayedUsed = b.used
 	}
 	slices.SortFunc(uses, func(a, b RelayedUse) int {
 		return cmp.Or(cmp.Compare(a.Organisation, b.Organisation), cmp.Compare(a.Host, b.Host))
--- a/pkg/relay/accountants.go
+++ b/pkg/relay/accountants.go
@@ -6,6 +6,7 @@
 
 	"github.com/mulberrystream/mulberrystream/pkg/catalog"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/quota"
 	"github.com/mulberrystream/mulberrystream/pkg/roster"
 )
 
@@ -23,6 +24,8 @@
 	accountantInterval = 250 * time.Millisecond
 	// accountantTTL is how long an assignment is used before it is computed anew.
 	accountantTTL = time.Second
+	// relayInterval is the minimum time between two messages that an accountant relays.
+	relayInterval = 50 * time.Millisecond
 )
 
 // accountants is the assignment of accountants to organisations as this host sees it.
@@ -30,6 +33,8 @@
 	at    time.Time
 	hosts map[ident.Organisation][]roster.Host
 	own   []ident.Organisation // of which this host is an accountant
+
+	relayedAt time.Time // see relayReports
 }
 
 // hasAccountants reports whether the fleet is so large that organisations have
@@ -42,7 +47,7 @@
 	if r.snapshot == nil || !r.hasAccountants() || r.now.Sub(r.accountants.at) < accountantTTL {
 		return
 	}
-	r.accountants = accountants{at: r.now, hosts: map[ident.Organisation][]roster.Host{}}
+	r.accountants = accountants{at: r.now, hosts: map[ident.Organisation][]roster.Host{}, relayedAt: r.accountants.relayedAt}
 	alive := append(r.roster.Alive(r.now), r.cfg.Roster.Self)
 	ids := make([]ident.HostID, len(alive))
 	byID := make(map[ident.HostID]roster.Host, len(alive))
@@ -82,11 +87,36 @@
 	}
 }
 
-// limitNewsDue reports whether other hosts should learn at once what was admitted.
+// limitNewsDue reports whether this host should tell all others at once what it has
+// admitted. While the hosts of a large fleet have not found each other, they may disagree
+// on the accountants.
 func (r *Relay) limitNewsDue() bool {
-	if (!r.hasAccountants() || !r.roster.Converged(r.now)) && r.quota.ReportDue(r.now) {
-		return true
+	return (!r.hasAccountants() || !r.roster.Converged(r.now)) && r.quota.ReportDue(r.now)
+}
+
+// relayReports sends what other hosts have reported to this one as an accountant. The
+// message has nothing else in it: a heartbeat to all hosts of a large fleet occupies the
+// link of a host for a tenth of a second.
+func (r *Relay) relayReports() {
+	if !r.hasAccountants() || r.now.Sub(r.accountants.relayedAt) < relayInterval {
+		return
 	}
 	r.assignAccountants()
-	return r.quota.RelayDue(r.now, r.accountants.own)
+	self := r.cfg.Roster.Self
+	uses := r.quota.Relays(r.now, r.accountants.own, func() quota.Report {
+		return quota.Report{Host: self.ID, Incarnation: self.Incarnation, Sequence: r.roster.NextSequence()}
+	})
+	if len(uses) == 0 {
+		return
+	}
+	r.accountants.relayedAt = r.now
+	var to []string
+	for _, h := range r.roster.Alive(r.now) {
+		to = append(to, h.Addr)
+	}
+	r.emit(Send{To: to, Message: Message{Heartbeat: roster.Heartbeat{From: self}, Relayed: uses}})
 }
+
+// isRelay reports whether a message is one of relayReports and no heartbeat, whose
+// sequence starts at 1.
+func (m *Message) isRelay() bool { return m.Heartbeat.Sequence == 0 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -33,7 +34,9 @@
 	// latestPeerConfirmedAt is the latest confirmedAt that any other host has reported.
 	latestPeerConfirmedAt time.Time
 	peerConfirmedAt       map[ident.HostID]time.Time
-	readDirectUntil       time.Time // until then this host bypasses its reader
+	avoidReaderUntil      map[ident.HostID]time.Time
+	nextDirectRead        time.Time // see DirectReadFailed
+	polledReader          int       // number of polls of readers while the platform is unreachable
 	storeEra              uint64    // latest seen era of the platform's store
 	storeRevision         uint64    // highest seen revision of storeEra
 	latestVersion         uint64    // highest version of the configuration that any host has
@@ -47,6 +50,7 @@
 	drainStartedAt time.Time // zero unless draining
 	exited         bool
 
+	rng                *rand.Rand
 	startedAt          time.Time
 	joinedRunningFleet bool // a peer was already running when this host started
 	predictor          *outputlen.Predictor
@@ -76,7 +80,9 @@
 		requests:       map[ID]*request{},
 		admissionRates: map[ident.Route]*rate{},
 
-		peerConfirmedAt: map[ident.HostID]time.Time{},
+		peerConfirmedAt:  map[ident.HostID]time.Time{},
+		avoidReaderUntil: map[ident.HostID]time.Time{},
+		rng:              rand.New(rand.NewPCG(cfg.Backends.Seed, 1)),
 
 		startedAt: now,
 		predictor: outputlen.New(),
@@ -93,6 +99,7 @@
 	r.handle(e)
 	r.startQueued()
 	r.sendHeartbeat()
+	r.relayReports()
 	return r.effects
 }
 
@@ -217,9 +224,7 @@
 		r.roster.ExpediteNext()
 	}
 	b, to, all := r.roster.Tick(r.now, !r.drainStartedAt.IsZero())
-	var relayed []quota.RelayedUse
 	if all {
-		relayed = r.quota.Relays(r.now, r.accountants.own)
 		r.quota.MarkReported()
 		r.backends.MarkReported()
 	}
@@ -234,7 +239,6 @@
 		AgeMS:     r.age().Milliseconds(),
 		UpMS:      r.now.Sub(r.startedAt).Milliseconds(),
 		Version:   r.configVersion(),
-		Relayed:   relayed,
 	}
 	for id, l := range r.backends.OwnLoads() {
 		m.Load = append(m.Load, BackendLoad{Backend: id, Requests: l.Requests, Memory: l.Memory, Prompt: l.Prompt})
@@ -246,6 +250,10 @@
 }
 
 func (r *Relay) messageReceived(m Message) {
+	if m.isRelay() {
+		r.quota.ApplyRelayed(r.now, m.Relayed)
+		return
+	}
 	fresh, restarted := r.roster.Receive(r.now, m.Heartbeat)
 	if !fresh {
 		return
@@ -262,6 +270,7 @@
 	if !r.connected() && !r.retryRequested && confirmedAt.After(r.failingSince) {
 		// At most once per outage, because the platform may be rejecting only this host.
 		r.retryRequested = true
+		r.nextDirectRead = r.now
 		r.emit(RetryRead{})
 	}
 	r.latestVersion = max(r.latestVersion, m.Version)
@@ -269,7 +278,6 @@
 	up := time.Duration(m.UpMS) * time.Millisecond
 	r.joinedRunningFleet = r.joinedRunningFleet || up > r.now.Sub(r.startedAt)+jointStartTolerance
 	r.quota.ApplyReport(r.now, quota.Report{Host: from.ID, Incarnation: from.Incarnation, Uptime: up, Sequence: m.Heartbeat.Sequence, Used: m.Used})
-	r.quota.ApplyRelayed(r.now, m.Relayed)
 	loads := make(map[ident.BackendID]backends.Load, len(m.Load))
 	for _, l := range m.Load {
 		loads[l.Backend] = backends.Load{Requests: l.Requests, Memory: l.Memory, Prompt: l.Prompt}
@@ -316,6 +324,7 @@
 	for _, id := range r.roster.Silent(r.now) {
 		r.backends.SetPeerLoads(id, nil)
 		delete(r.peerConfirmedAt, id)
+		delete(r.avoidReaderUntil, id)
 	}
 }
 
--- a/pkg/relay/roles.go
+++ b/pkg/relay/roles.go
@@ -171,7 +171,7 @@
 	prefill := r.backends.Count(r.now, service, backends.Prefill)
 	decode := r.backends.Count(r.now, service, backends.Decode)
 	change := r.roles.planner(service).Plan(r.now, prefill, decode)
-	if change < 0 && !r.decodeMemoryShort(service, sv) {
+	if change < 0 && !r.decodeMemoryShort(service, sv) && !r.prefillIdle(service, prefill+change) {
 		return
 	}
 	from, to := backends.Prefill, backends.Decode
@@ -197,6 +197,16 @@
 // have to wait. Below it a switch would take an engine out of service without need.
 const decodeShortThreshold = 0.85
 
+// idlePrefillUtilisation is the utilisation up to which prefill engines have so much time
+// to spare that some of them should decode before a burst needs their memory: a switch
+// takes longer than most bursts.
+const idlePrefillUtilisation = 0.5
+
+// prefillIdle reports whether fewer prefill engines would still be idle half of the time.
+func (r *Relay) prefillIdle(service ident.Route, engines int) bool {
+	return r.roles.planner(service).PrefillEngines(r.now) <= idlePrefillUtilisation*float64(engines)
+}
+
 // decodeMemoryShort reports whether the decode engines are nearly full.
 func (r *Relay) decodeMemoryShort(service ident.Route, sv *catalog.Service) bool {
 	return r.backends.MemoryUtilisation(r.now, backends.Query{
--- a/pkg/relayhost/core.go
+++ b/pkg/relayhost/core.go
@@ -180,10 +180,16 @@
 	c.relay.ReaderAnswered(boottime.Now(), id, age)
 }
 
-func (c *core) readerFailed() {
+func (c *core) readerFailed(id ident.HostID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.relay.ReaderFailed(boottime.Now())
+	c.relay.ReaderFailed(boottime.Now(), id)
+}
+
+func (c *core) directReadFailed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.relay.DirectReadFailed(boottime.Now())
 }
 
 // isolated reports whether this host cannot read the platform while another host can, so
--- a/pkg/relayhost/sharing.go
+++ b/pkg/relayhost/sharing.go
@@ -128,11 +128,7 @@
 		}
 		s.readerFailed(reader, err)
 	}
-	p, err := s.direct.List(ctx, prefix, after)
-	if err == nil {
-		err = s.checkEra(p)
-	}
-	return p, err
+	return s.readDirect(func() (follow.Page, error) { return s.direct.List(ctx, prefix, after) })
 }
 
 // checkEra returns an error for a page of an earlier era than one that was seen before:
@@ -149,38 +145,67 @@
 
 // Wait waits for changes under a prefix.
 func (s *sharedSource) Wait(ctx context.Context, prefix string, after follow.Position, wait time.Duration) (follow.Page, error) {
-	reader, ok := s.core.reader()
-	if !ok {
-		return s.waitDirect(ctx, prefix, after, s.core.readWait(wait))
+	var err error
+	for range maxReaderTries {
+		reader, ok := s.core.reader()
+		if !ok {
+			if err != nil {
+				wait = 0 // the time has been spent at a reader
+			}
+			return s.waitDirect(ctx, prefix, after, s.core.readWait(wait))
+		}
+		var p follow.Page
+		if p, err = s.waitAt(ctx, reader, prefix, after, min(wait, readerWait)); err == nil || errors.Is(err, follow.ErrCompacted) {
+			return p, err
+		}
+		s.readerFailed(reader, err)
+		if reader.InsteadOfPlatform {
+			break
+		}
 	}
-	wait = min(wait, readerWait)
+	return follow.Page{}, err
+}
+
+// maxReaderTries is the number of readers that one call tries: both of a domain, and one
+// more that is asked instead of an unreachable store.
+const maxReaderTries = 3
+
+// waitAt waits for changes at a reader.
+func (s *sharedSource) waitAt(ctx context.Context, reader relay.Reader, prefix string, after follow.Position, wait time.Duration) (follow.Page, error) {
 	call, cancel := context.WithTimeout(ctx, wait+readerSlack)
 	defer cancel()
 	resp, err := s.client(reader.Addr).wait.CallUnary(call,
 		connect.NewRequest(&waitRequest{prefix, after.Revision, wait.Milliseconds(), after.Era}))
-	if err == nil {
-		err = s.checkEra(*resp.Msg)
-	}
 	switch {
-	case err == nil:
-		s.core.readerAnswered(reader.Host, resp.Msg.Age)
-		return *resp.Msg, nil
 	case connect.CodeOf(err) == connect.CodeOutOfRange:
 		return follow.Page{}, follow.ErrCompacted
+	case err != nil:
+		return follow.Page{}, err
 	}
-	s.readerFailed(reader, err)
-	return s.waitDirect(ctx, prefix, after, 0)
+	if err := s.checkEra(*resp.Msg); err != nil {
+		return follow.Page{}, err
+	}
+	s.core.readerAnswered(reader.Host, resp.Msg.Age)
+	return *resp.Msg, nil
 }
 
 func (s *sharedSource) waitDirect(ctx context.Context, prefix string, after follow.Position, wait time.Duration) (follow.Page, error) {
-	p, err := s.direct.Wait(ctx, prefix, after, wait)
+	return s.readDirect(func() (follow.Page, error) { return s.direct.Wait(ctx, prefix, after, wait) })
+}
+
+// readDirect reads the store itself.
+func (s *sharedSource) readDirect(read func() (follow.Page, error)) (follow.Page, error) {
+	p, err := read()
 	if err == nil {
-		err = s.checkEra(p)
+		return p, s.checkEra(p)
+	}
+	if !errors.Is(err, follow.ErrCompacted) {
+		s.core.directReadFailed()
 	}
 	return p, err
 }
 
 func (s *sharedSource) readerFailed(r relay.Reader, err error) {
-	s.core.readerFailed()
+	s.core.readerFailed(r.Host)
 	s.log.Info("store: reader failed, reading directly", zap.String("peer", string(r.Host)), zap.Error(err))
 }
--- a/pkg/rolesplit/rolesplit.go
+++ b/pkg/rolesplit/rolesplit.go
@@ -76,6 +76,20 @@
 	p.decode += decode
 }
 
+// PrefillEngines returns the number of engines that the recent prompts keep busy.
+func (p *Planner) PrefillEngines(now time.Time) float64 {
+	if p.firstWork.IsZero() {
+		return 0
+	}
+	// The sums approach their final values as observation goes on.
+	seen := 1 - math.Exp(-now.Sub(p.firstWork).Seconds()/p.cfg.AveragingTime.Seconds())
+	if seen <= 0 {
+		return 0
+	}
+	keep := math.Exp(-now.Sub(p.decayedAt).Seconds() / p.cfg.AveragingTime.Seconds())
+	return p.prefill * keep / (p.cfg.AveragingTime.Seconds() * seen)
+}
+
 // RecordChange records that a change was started, which begins the cooldown.
 func (p *Planner) RecordChange(now time.Time) { p.lastChange = now }
 
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -68,6 +68,8 @@
 	nextHeartbeat time.Time
 	lastSeed      time.Time
 	sampleIndex   int       // position in order of the last host in a sample
+	batchIndex    int       // position in order of the next batch
+	expedited     bool      // the next heartbeat goes to all hosts at once
 	lastJoin      time.Time // last time that a host was added, or the first heartbeat
 	converged     bool      // see Converged
 	extraAddrs    []string  // hosts that get a heartbeat before the next one to all hosts
@@ -119,37 +121,70 @@
 		r.sequence++
 		return Heartbeat{From: r.cfg.Self, Sequence: r.sequence, Leaving: leaving, Known: r.sample(now)}, to, false
 	}
-	r.extraAddrs = nil
 	if r.lastJoin.IsZero() {
 		r.lastJoin = now
 	}
+	r.removeStale(now)
+	batch, all := r.nextBatch()
 	r.lastHeartbeat = now
 	r.nextHeartbeat = now.Add(r.Interval())
-	r.removeStale(now)
+	if !all {
+		r.nextHeartbeat = now.Add(r.Interval() * time.Duration(len(batch)) / time.Duration(len(r.order)))
+	}
 	r.sequence++
 	hb = Heartbeat{From: r.cfg.Self, Sequence: r.sequence, Leaving: leaving, Known: r.sample(now)}
-	for _, id := range r.order {
+	to, r.extraAddrs = r.extraAddrs, nil
+	for _, id := range batch {
 		m := r.members[id]
-		if !r.alive(now, m) && now.Sub(m.lastSent) < silentResendInterval {
+		if !r.alive(now, m) && now.Sub(m.lastSent) < silentResendInterval || slices.Contains(to, m.Addr) {
 			continue
 		}
 		m.lastSent = now
 		to = append(to, m.Addr)
 	}
-	return hb, append(to, r.unknownSeeds(now)...), true
+	return hb, append(to, r.unknownSeeds(now)...), all
+}
+
+// hostsPerBatch is the number of hosts that get a heartbeat at the same time. The
+// heartbeats to all hosts of a large fleet would occupy the link of this host for a tenth
+// of a second, and delay its callers.
+const hostsPerBatch = 16
+
+// nextBatch returns the hosts that get the next heartbeat, and whether these are all.
+// While hosts are still being discovered, all of them get it, so that none is missed when
+// the others seem to be known.
+func (r *Roster) nextBatch() (batch []ident.HostID, all bool) {
+	if r.expedited || !r.converged || len(r.order) <= hostsPerBatch {
+		r.expedited, r.batchIndex = false, 0
+		return r.order, true
+	}
+	if r.batchIndex >= len(r.order) {
+		r.batchIndex = 0
+	}
+	batch = r.order[r.batchIndex:min(r.batchIndex+hostsPerBatch, len(r.order))]
+	r.batchIndex += len(batch)
+	return batch, false
 }
 
 // minInterval is the shortest time between two heartbeats to all hosts. It bounds the
 // traffic while ExpediteNext is called repeatedly.
 const minInterval = 50 * time.Millisecond
 
-// ExpediteNext makes the next heartbeat due as soon as minInterval allows.
+// ExpediteNext makes the next heartbeat go to all hosts, as soon as minInterval allows.
 func (r *Roster) ExpediteNext() {
+	r.expedited = true
 	if soon := r.lastHeartbeat.Add(minInterval); soon.Before(r.nextHeartbeat) {
 		r.nextHeartbeat = soon
 	}
 }
 
+// NextSequence assigns the sequence of a heartbeat to a message that is not one, so that
+// its receivers can order it among the heartbeats.
+func (r *Roster) NextSequence() uint64 {
+	r.sequence++
+	return r.sequence
+}
+
 // Notify sends the next heartbeat to an address at once, ahead of the one to all hosts.
 func (r *Roster) Notify(addr string) {
 	if !slices.Contains(r.extraAddrs, addr) {
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -214,4 +214,41 @@
 			}
 		}
 	})
+
+	// Guards against heartbeats to all hosts of a large fleet at once, which occupy a slow
+	// link for a tenth of a second while callers wait.
+	It("sends the heartbeats of a large fleet in small batches, each host once per interval", func() {
+		const hosts = 100
+		self := roster.Host{ID: "self", Incarnation: 1, Addr: "self"}
+		r := roster.New(roster.DefaultConfig(self, nil))
+		now := time.Unix(1000, 0)
+		for i := range hosts {
+			r.Receive(now, roster.Heartbeat{From: roster.Host{ID: ident.HostID(fmt.Sprint("h", i)), Incarnation: 1, Addr: fmt.Sprint("h", i)}, Sequence: 1})
+		}
+		for !r.Converged(now) {
+			now = now.Add(100 * time.Millisecond)
+			r.Tick(now, false)
+		}
+		now = r.Next()
+		for i := range hosts {
+			r.Receive(now, roster.Heartbeat{From: roster.Host{ID: ident.HostID(fmt.Sprint("h", i)), Incarnation: 1, Addr: fmt.Sprint("h", i)}, Sequence: 2})
+		}
+		sent := map[string]int{}
+		for end := now.Add(r.Interval()).Add(50 * time.Millisecond); now.Before(end); now = now.Add(5 * time.Millisecond) {
+			_, to, all := r.Tick(now, false)
+			Expect(all).To(BeFalse())
+			Expect(len(to)).To(BeNumerically("<=", 16))
+			for _, addr := range to {
+				sent[addr]++
+			}
+		}
+		Expect(sent).To(HaveLen(hosts))
+		for addr, n := range sent {
+			Expect(n).To(BeNumerically("<=", 2), addr)
+		}
+		r.ExpediteNext()
+		_, to, all := r.Tick(now.Add(time.Second), false)
+		Expect(all).To(BeTrue())
+		Expect(to).To(HaveLen(hosts))
+	})
 })
