--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -350,7 +350,8 @@
 func (r *Roster) SetSeeds(seeds []string) { r.cfg.Seeds = seeds }
 
 // SilentDomains returns the other failure domains that have a silent host and none that
-// is alive.
+// is alive. A host that was leaving when it was last heard has stopped as announced, which
+// says nothing of its domain.
 func (r *Roster) SilentDomains(now time.Time) []ident.FailureDomain {
 	aliveDomains := map[ident.FailureDomain]bool{r.cfg.Self.Domain: true}
 	for _, m := range r.members {
@@ -360,7 +361,7 @@
 	}
 	var silent []ident.FailureDomain
 	for _, m := range r.members {
-		if !m.lastHeard.IsZero() && !aliveDomains[m.Domain] && !slices.Contains(silent, m.Domain) {
+		if !m.lastHeard.IsZero() && !m.leaving && !aliveDomains[m.Domain] && !slices.Contains(silent, m.Domain) {
 			silent = append(silent, m.Domain)
 		}
 	}
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -251,4 +251,17 @@
 		Expect(all).To(BeTrue())
 		Expect(to).To(HaveLen(hosts))
 	})
+
+	// Guards against a domain whose only host is replaced as planned: its backend servers
+	// would get one request at a time.
+	It("do not take a domain for silent whose hosts have stopped as announced", func() {
+		r := roster.New(roster.DefaultConfig(roster.Host{ID: "self", Incarnation: 1, Addr: "self", Domain: "a"}, nil))
+		now := time.Unix(1000, 0)
+		for i, domain := range []ident.FailureDomain{"b", "c"} {
+			from := roster.Host{ID: ident.HostID(domain), Incarnation: 1, Addr: string(domain), Domain: domain}
+			r.Receive(now, roster.Heartbeat{From: from, Sequence: 1, Leaving: i == 0})
+		}
+		now = now.Add(2 * time.Second)
+		Expect(r.SilentDomains(now)).To(Equal([]ident.FailureDomain{"c"}))
+	})
 })
