--- a/pkg/relay/accountants.go
+++ b/pkg/relay/accountants.go
@@ -17,15 +17,16 @@
 // admitted several times its burst, and then refused until that is paid back.
 const (
 	// accountantsPerOrganisation is the number of accountants, in different failure
-	// domains, so that one is left if a domain is lost.
-	accountantsPerOrganisation = 2
+	// domains. Hosts that are cut off are noticed late in a large fleet; with three, one of
+	// them is nearly always reached.
+	accountantsPerOrganisation = 3
 	// accountantInterval is the heartbeat interval from which on there are accountants.
 	// With a shorter one, hosts send their own heartbeats early.
 	accountantInterval = 250 * time.Millisecond
 	// accountantTTL is how long an assignment is used before it is computed anew.
 	accountantTTL = time.Second
 	// relayInterval is the minimum time between two messages that an accountant relays.
-	relayInterval = 50 * time.Millisecond
+	relayInterval = 100 * time.Millisecond
 )
 
 // accountants is the assignment of accountants to organisations as this host sees it.
