--- a/internal/soak/relaysoak/faults.go
+++ b/internal/soak/relaysoak/faults.go
@@ -26,6 +26,7 @@
 		{"store-cut-from-host", storeFault(faultproxy.Faults{Cut: true})},
 		{"store-one-way", storeFault(faultproxy.Faults{CutToClient: true})},
 		{"store-compacts", compactStore},
+		{"store-restored", restoreStore},
 		{"server-cut", serverFaults(faultproxy.Faults{Cut: true})},
 		{"server-one-way", serverFaults(faultproxy.Faults{CutToClient: true})},
 		{"server-refuses", serverFaults(faultproxy.Faults{Refuse: true})},
@@ -146,6 +147,18 @@
 	return noRepair
 }
 
+// restoreStore lets the store come back from the copy that it had when the fault began.
+// What was written since is written again a second later.
+func restoreStore(x *run) func() error {
+	x.d.store.Backup()
+	return func() error {
+		rewrite := x.d.store.Restore()
+		time.Sleep(time.Second)
+		rewrite()
+		return nil
+	}
+}
+
 func serverFaults(f faultproxy.Faults) func(x *run) func() error {
 	return func(x *run) func() error {
 		return injectAt(x, x.d.servers, func(s *server) func() error {
