--- a/internal/baseline/policies.go
+++ b/internal/baseline/policies.go
@@ -55,7 +55,7 @@
 }
 
 // leastLoad chooses the engine with the fewest requests in its last report. A host
-// avoids an engine for the rest of the run once it failed to reach it.
+// avoids an engine that it failed to reach until the engine's next report.
 type leastLoad struct {
 	sim  *sim
 	load []map[ident.BackendID]int
@@ -79,7 +79,10 @@
 			continue
 		}
 		r := e.report()
-		l.sim.after(reportLag, func() { l.load[h][r.ID] = r.Running + r.Queued })
+		l.sim.after(reportLag, func() {
+			l.load[h][r.ID] = r.Running + r.Queued
+			delete(l.down[h], r.ID)
+		})
 	}
 }
 
--- a/internal/soak/relaysoak/run.go
+++ b/internal/soak/relaysoak/run.go
@@ -63,8 +63,8 @@
 	return o
 }
 
-// injectFaults injects faults until the end of the run and repairs all of them. If the
-// key cannot be withdrawn, it returns without waiting for the repairs.
+// injectFaults injects faults until the end of the run, or until the key cannot be
+// withdrawn, and repairs all of them.
 func (x *run) injectFaults(length time.Duration, only []fault) error {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
@@ -73,7 +73,10 @@
 	for time.Now().Before(end) {
 		if x.revoked.IsZero() && time.Since(x.started) > time.Duration(revokeFraction*float64(length)) {
 			if err := x.revoke(); err != nil {
-				return err
+				mu.Lock()
+				failed = errors.Join(failed, err)
+				mu.Unlock()
+				break
 			}
 		}
 		f, lasts, pause := x.nextFault(only)
--- a/pkg/limits/limiter.go
+++ b/pkg/limits/limiter.go
@@ -144,9 +144,8 @@
 	reservations map[ident.RequestID]*reservation
 	waiters      map[ident.RequestID]*waiter
 
-	peers        []ident.HostID // hosts of this host's domain including itself, sorted
-	remotes      []remoteDomain // other domains, sorted
-	peersVersion uint64         // counts changes of peers and remotes
+	peers   []ident.HostID // hosts of this host's domain including itself, sorted
+	remotes []remoteDomain // other domains, sorted
 
 	lastNumber uint64 // last number given to a loan or borrow request
 	borrows    map[ID]*borrowRequest
@@ -217,7 +216,6 @@
 func (l *Limiter) SetPeers(now time.Time, peers []Peer) Result {
 	var res Result
 	l.advance(now)
-	l.peersVersion++
 	own := []ident.HostID{l.cfg.Self.Host}
 	others := map[ident.FailureDomain][]ident.HostID{}
 	for _, p := range peers {
--- a/pkg/placement/claims.go
+++ b/pkg/placement/claims.go
@@ -11,11 +11,7 @@
 // the undecided and booked ones of this Placer. f must be pure.
 func (p *Placer) SetOwned(f func(ident.BackendRef) bool) { p.ownedByNode = f }
 
-// AnswerClaims answers a query of a pool owner. Receive does the same for a message.
-func (p *Placer) AnswerClaims(now time.Time, from ident.HostID, q ClaimQuery) Result {
-	return p.Receive(now, from, Message{Query: &q})
-}
-
+// onQuery answers a query of a pool owner.
 func (p *Placer) onQuery(from ident.HostID, q ClaimQuery) {
 	if from != p.cfg.Self.Host {
 		p.result.Claims = append(p.result.Claims, q)
