--- a/pkg/relayhost/sharing.go
+++ b/pkg/relayhost/sharing.go
@@ -87,7 +87,7 @@
 }
 
 func newSharedSource(c *core, direct follow.Source, log *zap.Logger) *sharedSource {
-	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &sharedSource{
 		core: c, direct: direct, log: log,
 		http:    &http.Client{Transport: transport},
--- a/pkg/sendonce/endless_test.go
+++ b/pkg/sendonce/endless_test.go
@@ -153,14 +153,19 @@
 		}
 	}
 
-	It("ends a stream whose peer sends a byte now and then", func() {
-		p := newPeer(drip)
-		c := sendonce.New(p.addr(), sendonce.Options{})
+	open := func(c *sendonce.Client, timeout time.Duration) *sendonce.Stream {
 		req := fasthttp.AcquireRequest()
 		req.SetRequestURI("http://" + c.Addr() + "/x")
-		s, err := c.Stream(context.Background(), req, 50*time.Millisecond)
+		s, err := c.Stream(context.Background(), req, timeout)
 		Expect(err).NotTo(HaveOccurred())
-		defer s.Close()
+		DeferCleanup(s.Close)
+		return s
+	}
+
+	It("ends a stream whose peer sends a byte now and then", func() {
+		p := newPeer(drip)
+		c := sendonce.New(p.addr(), sendonce.Options{})
+		s := open(c, 50*time.Millisecond)
 		done := make(chan error, 1)
 		go func() {
 			_, err := io.Copy(io.Discard, s)
@@ -172,11 +177,7 @@
 	It("keeps a slow stream whose progress is reported", func() {
 		p := newPeer(drip)
 		c := sendonce.New(p.addr(), sendonce.Options{})
-		req := fasthttp.AcquireRequest()
-		req.SetRequestURI("http://" + c.Addr() + "/x")
-		s, err := c.Stream(context.Background(), req, 10*time.Second)
-		Expect(err).NotTo(HaveOccurred())
-		defer s.Close()
+		s := open(c, 10*time.Second)
 		b := make([]byte, 1)
 		for range 20 {
 			s.Progress(10*time.Second, 100)
