--- a/pkg/relay/admit.go
+++ b/pkg/relay/admit.go
@@ -133,7 +133,7 @@
 		return 429, OverLimit, wait
 	}
 	q.chargedTokens = tokens
-	r.reportToAccountants(q.org.Name)
+	r.reportToAggregators(q.org.Name)
 	return 0, "", 0
 }
 
--- a/pkg/relay/accountants.go
+++ b/pkg/relay/aggregators.go
@@ -10,45 +10,45 @@
 	"github.com/mulberrystream/mulberrystream/pkg/roster"
 )
 
-// In a large fleet, each organisation has accountants: hosts to which all others report at
+// In a large fleet, each organisation has aggregators: hosts to which all others report at
 // once what they admit for it, and which relay that to all hosts while little is left of
 // its limit. Without them a host learns of the others' admissions with their next
 // heartbeats, and an organisation that suddenly asks for several times its rate is
 // admitted several times its burst, and then refused until that is paid back.
 const (
-	// accountantsPerOrganisation is the number of accountants, in different failure
+	// aggregatorsPerOrganisation is the number of aggregators, in different failure
 	// domains. Hosts that are cut off are noticed late in a large fleet; with three, one of
 	// them is nearly always reached.
-	accountantsPerOrganisation = 3
-	// accountantInterval is the heartbeat interval from which on there are accountants.
+	aggregatorsPerOrganisation = 3
+	// aggregatorInterval is the heartbeat interval from which on there are aggregators.
 	// With a shorter one, hosts send their own heartbeats early.
-	accountantInterval = 250 * time.Millisecond
-	// accountantTTL is how long an assignment is used before it is computed anew.
-	accountantTTL = time.Second
-	// relayInterval is the minimum time between two messages that an accountant relays.
+	aggregatorInterval = 250 * time.Millisecond
+	// aggregatorTTL is how long an assignment is used before it is computed anew.
+	aggregatorTTL = time.Second
+	// relayInterval is the minimum time between two messages that an aggregator relays.
 	relayInterval = 100 * time.Millisecond
 )
 
-// accountants is the assignment of accountants to organisations as this host sees it.
-type accountants struct {
+// aggregators is the assignment of aggregators to organisations as this host sees it.
+type aggregators struct {
 	at    time.Time
 	hosts map[ident.Organisation][]roster.Host
-	own   []ident.Organisation // of which this host is an accountant
+	own   []ident.Organisation // of which this host is an aggregator
 
 	relayedAt time.Time // see relayReports
 }
 
-// hasAccountants reports whether the fleet is so large that organisations have
-// accountants.
-func (r *Relay) hasAccountants() bool { return r.roster.Interval() > accountantInterval }
+// hasAggregators reports whether the fleet is so large that organisations have
+// aggregators.
+func (r *Relay) hasAggregators() bool { return r.roster.Interval() > aggregatorInterval }
 
-// assignAccountants renews the assignment if it has expired. All hosts with the same view
+// assignAggregators renews the assignment if it has expired. All hosts with the same view
 // of the fleet arrive at the same one.
-func (r *Relay) assignAccountants() {
-	if r.snapshot == nil || !r.hasAccountants() || r.now.Sub(r.accountants.at) < accountantTTL {
+func (r *Relay) assignAggregators() {
+	if r.snapshot == nil || !r.hasAggregators() || r.now.Sub(r.aggregators.at) < aggregatorTTL {
 		return
 	}
-	r.accountants = accountants{at: r.now, hosts: map[ident.Organisation][]roster.Host{}, relayedAt: r.accountants.relayedAt}
+	r.aggregators = aggregators{at: r.now, hosts: map[ident.Organisation][]roster.Host{}, relayedAt: r.aggregators.relayedAt}
 	alive := append(r.roster.Alive(r.now), r.cfg.Roster.Self)
 	ids := make([]ident.HostID, len(alive))
 	byID := make(map[ident.HostID]roster.Host, len(alive))
@@ -67,21 +67,21 @@
 			}
 			chosen = append(chosen, h)
 			if id == r.cfg.Roster.Self.ID {
-				r.accountants.own = append(r.accountants.own, o.Name)
+				r.aggregators.own = append(r.aggregators.own, o.Name)
 			}
-			if len(chosen) == accountantsPerOrganisation {
+			if len(chosen) == aggregatorsPerOrganisation {
 				break
 			}
 		}
-		r.accountants.hosts[o.Name] = chosen
+		r.aggregators.hosts[o.Name] = chosen
 	})
 }
 
-// reportToAccountants sends this host's figures to the accountants of an organisation for
+// reportToAggregators sends this host's figures to the aggregators of an organisation for
 // which it has admitted a request.
-func (r *Relay) reportToAccountants(org ident.Organisation) {
-	r.assignAccountants()
-	for _, h := range r.accountants.hosts[org] {
+func (r *Relay) reportToAggregators(org ident.Organisation) {
+	r.assignAggregators()
+	for _, h := range r.aggregators.hosts[org] {
 		if h.ID != r.cfg.Roster.Self.ID {
 			r.roster.Notify(h.Addr)
 		}
@@ -90,27 +90,27 @@
 
 // limitNewsDue reports whether this host should tell all others at once what it has
 // admitted. While the hosts of a large fleet have not found each other, they may disagree
-// on the accountants.
+// on the aggregators.
 func (r *Relay) limitNewsDue() bool {
-	return (!r.hasAccountants() || !r.roster.Converged(r.now)) && r.quota.ReportDue(r.now)
+	return (!r.hasAggregators() || !r.roster.Converged(r.now)) && r.quota.ReportDue(r.now)
 }
 
-// relayReports sends what other hosts have reported to this one as an accountant. The
+// relayReports sends what other hosts have reported to this one as an aggregator. The
 // message has nothing else in it: a heartbeat to all hosts of a large fleet occupies the
 // link of a host for a tenth of a second.
 func (r *Relay) relayReports() {
-	if !r.hasAccountants() || r.now.Sub(r.accountants.relayedAt) < relayInterval {
+	if !r.hasAggregators() || r.now.Sub(r.aggregators.relayedAt) < relayInterval {
 		return
 	}
-	r.assignAccountants()
+	r.assignAggregators()
 	self := r.cfg.Roster.Self
-	uses := r.quota.Relays(r.now, r.accountants.own, func() quota.Report {
+	uses := r.quota.Relays(r.now, r.aggregators.own, func() quota.Report {
 		return quota.Report{Host: self.ID, Incarnation: self.Incarnation, Sequence: r.roster.NextSequence()}
 	})
 	if len(uses) == 0 {
 		return
 	}
-	r.accountants.relayedAt = r.now
+	r.aggregators.relayedAt = r.now
 	var to []string
 	for _, h := range r.roster.Alive(r.now) {
 		to = append(to, h.Addr)
--- a/pkg/relay/accountants_test.go
+++ b/pkg/relay/aggregators_test.go
@@ -8,7 +8,7 @@
 )
 
 var _ = Describe("a large fleet in which one organisation suddenly asks for several times its rate", func() {
-	// Without accountants every host admits against the full bucket until the next
+	// Without aggregators every host admits against the full bucket until the next
 	// heartbeats of the others, and the organisation is refused for seconds afterwards.
 	const hosts = 120
 
@@ -29,7 +29,7 @@
 		Expect(float64(later * restartTokens)).To(BeNumerically("<", 1.25*3*restartRate))
 	})
 
-	It("does so too when the failure domain of one accountant is lost", func() {
+	It("does so too when the failure domain of one aggregator is lost", func() {
 		f := newRestartFleet(hosts, 4)
 		f.run(6*time.Second, 0.5)
 		for i := range f.hosts {
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -174,7 +174,7 @@
 	UpMS        int64             `cbor:"7,keyasint,omitempty"` // uptime of the sender's process
 	Unreachable []UnreachableNote `cbor:"8,keyasint,omitempty"` // backend servers that the sender recently failed to reach
 	Version     uint64            `cbor:"9,keyasint,omitempty"` // of the sender's configuration
-	// Relayed are admitted tokens that other hosts reported to the sender, see accountants.
+	// Relayed are admitted tokens that other hosts reported to the sender, see aggregators.
 	Relayed []quota.RelayedUse `cbor:"10,keyasint,omitempty"`
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -54,7 +54,7 @@
 	startedAt          time.Time
 	joinedRunningFleet bool // a peer was already running when this host started
 	predictor          *outputlen.Predictor
-	accountants        accountants
+	aggregators        aggregators
 	roles              roles
 	rolesPlannedAt     time.Time
 }
