--- a/pkg/relay/aggregators.go
+++ b/pkg/relay/aggregators.go
@@ -23,15 +23,19 @@
 	// aggregatorInterval is the heartbeat interval from which on there are aggregators.
 	// With a shorter one, hosts send their own heartbeats early.
 	aggregatorInterval = 250 * time.Millisecond
-	// aggregatorTTL is how long an assignment is used before it is computed anew.
-	aggregatorTTL = time.Second
+	// aggregatorCheckInterval is how often the live hosts are compared with those of the
+	// assignment.
+	aggregatorCheckInterval = time.Second
 	// relayInterval is the minimum time between two messages that an aggregator relays.
 	relayInterval = 100 * time.Millisecond
 )
 
 // aggregators is the assignment of aggregators to organisations as this host sees it.
 type aggregators struct {
-	at    time.Time
+	checkedAt time.Time
+	version   uint64         // of the configuration that names the organisations
+	alive     []ident.HostID // the hosts among which they were chosen
+
 	hosts map[ident.Organisation][]roster.Host
 	own   []ident.Organisation // of which this host is an aggregator
 
@@ -42,19 +46,25 @@
 // aggregators.
 func (r *Relay) hasAggregators() bool { return r.roster.Interval() > aggregatorInterval }
 
-// assignAggregators renews the assignment if it has expired. All hosts with the same view
-// of the fleet arrive at the same one.
+// assignAggregators renews the assignment if the live hosts or the organisations have
+// changed. All hosts with the same view of the fleet arrive at the same one.
 func (r *Relay) assignAggregators() {
-	if r.snapshot == nil || !r.hasAggregators() || r.now.Sub(r.aggregators.at) < aggregatorTTL {
+	a := &r.aggregators
+	if r.snapshot == nil || !r.hasAggregators() || r.now.Sub(a.checkedAt) < aggregatorCheckInterval {
 		return
 	}
-	r.aggregators = aggregators{at: r.now, hosts: map[ident.Organisation][]roster.Host{}, relayedAt: r.aggregators.relayedAt}
+	a.checkedAt = r.now
 	alive := append(r.roster.Alive(r.now), r.cfg.Roster.Self)
 	ids := make([]ident.HostID, len(alive))
 	byID := make(map[ident.HostID]roster.Host, len(alive))
 	for i, h := range alive {
 		ids[i], byID[h.ID] = h.ID, h
 	}
+	if a.version == r.snapshot.Version && slices.Equal(a.alive, ids) {
+		return
+	}
+	a.version, a.alive = r.snapshot.Version, ids
+	a.hosts, a.own = map[ident.Organisation][]roster.Host{}, nil
 	r.snapshot.Organisations(func(o *catalog.Organisation) {
 		if o.Rate <= 0 {
 			return
@@ -67,13 +77,13 @@
 			}
 			chosen = append(chosen, h)
 			if id == r.cfg.Roster.Self.ID {
-				r.aggregators.own = append(r.aggregators.own, o.Name)
+				a.own = append(a.own, o.Name)
 			}
 			if len(chosen) == aggregatorsPerOrganisation {
 				break
 			}
 		}
-		r.aggregators.hosts[o.Name] = chosen
+		a.hosts[o.Name] = chosen
 	})
 }
 
