--- a/pkg/backends/directory.go
+++ b/pkg/backends/directory.go
@@ -107,8 +107,11 @@
 	}
 }
 
-// listed reports whether the server's entry is in the list, as far as is known.
-func (s *server) listed() bool { return s.removeAt.IsZero() || s.unconfirmed }
+// listed reports whether the server's entry is in the list and up to date, as far as is
+// known.
+func (s *server) listed(now time.Time) bool {
+	return (s.removeAt.IsZero() || s.unconfirmed) && !now.Before(s.unusedUntil)
+}
 
 // ExpireMissing removes the entries whose grace period has ended and returns their ids.
 func (d *Directory) ExpireMissing(now time.Time) []ident.BackendID {
@@ -156,7 +159,7 @@
 		if s.switching(now) {
 			at = s.switchTo
 		}
-		if at == stage && !s.Draining && s.listed() && !now.Before(s.unusedUntil) && !s.suspended(now) {
+		if at == stage && !s.Draining && s.listed(now) && !s.suspended(now) {
 			n++
 		}
 	}
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -150,7 +150,7 @@
 		}
 		f.failures++
 		f.sink.Failed(err)
-		if errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) {
+		if needsList(err) {
 			f.listed = false
 			continue
 		}
@@ -159,6 +159,9 @@
 	return nil
 }
 
+// needsList reports whether a read failed only because the store has to be listed again.
+func needsList(err error) bool { return errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) }
+
 // backoff returns the delay before the next call after a failure. It is randomised, so
 // that hosts that lost the store at the same time do not retry at the same time.
 func (f *Follower) backoff() time.Duration {
--- a/pkg/follow/mirror.go
+++ b/pkg/follow/mirror.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"strings"
 	"sync"
@@ -100,7 +99,7 @@
 // returns ErrNotReady until the next successful one, so that hosts that can read the store
 // do so themselves. A store that only requires a new list is not unreachable.
 func (m *Mirror) Failed(err error) {
-	if !errors.Is(err, ErrCompacted) && !errors.Is(err, ErrRestored) {
+	if !needsList(err) {
 		m.mu.Lock()
 		if m.failingSince.IsZero() {
 			m.failingSince = m.now()
