--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -94,9 +94,10 @@
 	ID      ID
 	Attempt int
 	Outcome Outcome
-	Status  int  // of the backend server; 0 without an answer
-	Started bool // part of the answer has been sent to the caller
-	Events  int  // stream events relayed by this call
+	Status  int    // of the backend server; 0 without an answer
+	Started bool   // part of the answer has been sent to the caller
+	Events  int    // stream events relayed by this call
+	Framing string // what delimits the body of a stream, for the log
 	Took    time.Duration
 }
 
--- a/pkg/relay/log.go
+++ b/pkg/relay/log.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
@@ -29,7 +30,20 @@
 func (r *Relay) log(d Decision) { r.emit(d) }
 
 // logRequest logs a decision about a request with the state on which it was based.
-func (r *Relay) logRequest(q *request, step, outcome string) {
+func (r *Relay) logRequest(q *request, step, outcome string) { r.log(r.decision(q, step, outcome)) }
+
+// logStreamEnd logs the end of a decode with what was relayed. The framing tells whether
+// the end of the body could be told from a broken connection.
+func (r *Relay) logStreamEnd(q *request, e CallEnded, step, outcome string) {
+	d := r.decision(q, step, outcome)
+	if e.Framing != "" {
+		d.Detail = fmt.Sprintf("%d events, framed by %s", e.Events, e.Framing)
+	}
+	r.log(d)
+}
+
+// decision returns a log line about a request.
+func (r *Relay) decision(q *request, step, outcome string) Decision {
 	d := Decision{
 		Step:      step,
 		RequestID: q.spec.RequestID,
@@ -48,5 +62,5 @@
 	if q.org != nil {
 		d.Organisation = q.org.Name
 	}
-	r.log(d)
+	return d
 }
--- a/pkg/relay/staged.go
+++ b/pkg/relay/staged.go
@@ -278,7 +278,7 @@
 	}
 	if e.Outcome == Succeeded {
 		r.recordOutput(q, e)
-		r.logRequest(q, "answer", "complete")
+		r.logStreamEnd(q, e, "answer", "complete")
 		r.finish(q)
 		return
 	}
@@ -288,7 +288,7 @@
 		r.finish(q)
 		return
 	}
-	r.logRequest(q, "decode", e.Outcome.String())
+	r.logStreamEnd(q, e, "decode", e.Outcome.String())
 	if e.Outcome == NotRun && !q.localPrefill {
 		// The memory was reserved, so the refusal means that the KV cache could not be
 		// fetched.
--- a/pkg/sendonce/stream.go
+++ b/pkg/sendonce/stream.go
@@ -71,6 +71,18 @@
 // the connection, so that a body that was cut off looks like a complete one.
 func (s *Stream) EndsWithConnection() bool { return s.resp.Header.ContentLength() < -1 }
 
+// Framing says what delimits the body: "length", "chunks" or "close", the end of the
+// connection.
+func (s *Stream) Framing() string {
+	switch n := s.resp.Header.ContentLength(); {
+	case n >= 0:
+		return "length"
+	case n == -1:
+		return "chunks"
+	}
+	return "close"
+}
+
 // Headers returns all response headers.
 func (s *Stream) Headers() iter.Seq2[[]byte, []byte] { return s.resp.Header.All() }
 
