relayhost: a stream that ends inside an event is broken off in any framing

Callers saw status 200 and a complete body whose last event was cut. Cause: whether a stream is complete was taken from its framing; the check for a remainder after the last event was made only for bodies that end with the connection. The entry 'in chunks that are terminated' failed before and passes now.

--- a/pkg/relayhost/stream.go
+++ b/pkg/relayhost/stream.go
@@ -56,8 +56,8 @@
 	events, before := eventstream.NewReader(s), x.eventsRelayed
 	for {
 		block, err := events.Next()
-		if errors.Is(err, io.EOF) && s.EndsWithConnection() && (len(block) > 0 || x.eventsRelayed == before) {
-			// A complete answer ends with an event.
+		if errors.Is(err, io.EOF) && (len(block) > 0 || s.EndsWithConnection() && x.eventsRelayed == before) {
+			// A complete stream ends with an event, whatever delimits its body.
 			return relay.Lost, io.ErrUnexpectedEOF
 		}
 		if len(block) > 0 {
