relayhost: abort answers to HTTP/1.0 callers with a reset

A caller of HTTP/1.0 saw a part of a stream and an orderly end of the connection, which is the end of the body in that protocol. The spec for HTTP/1.0 failed before and passes now.

--- a/pkg/relayhost/front.go
+++ b/pkg/relayhost/front.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -113,8 +114,7 @@
 		x.writeBuffered()
 		return true
 	case relay.AbortAnswer:
-		// Aborts the connection, so that the caller does not take the answer for complete.
-		panic(http.ErrAbortHandler)
+		x.abort()
 	case relay.Call:
 		x.host.core.step(x.call(e))
 	case relay.Reserve:
@@ -129,6 +129,18 @@
 	return false
 }
 
+// callerConn is the key of the caller's connection in the context of its requests.
+type callerConn struct{}
+
+// abort closes the connection so that the caller does not take the answer for complete.
+func (x *exchange) abort() {
+	if c, ok := x.r.Context().Value(callerConn{}).(*net.TCPConn); ok && !x.r.ProtoAtLeast(1, 1) {
+		// Without chunks, an orderly end of the connection is the end of the body.
+		_ = c.SetLinger(0)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // writeBuffered sends the buffered answer to the caller unchanged.
 func (x *exchange) writeBuffered() {
 	a := x.buffered
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -192,6 +192,9 @@
 		}
 		if l.addr == h.cfg.CallerAddr {
 			s.ConnState = h.active.connState
+			s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+				return context.WithValue(ctx, callerConn{}, c)
+			}
 		}
 		servers = append(servers, s)
 		g.Go(func() error {
