relay, platform: log the shared parts of prompts

Lines on a request did not have the parts of its prompt, so crashes by one part looked like crashes by an organisation or a route.

--- a/pkg/ident/ident.go
+++ b/pkg/ident/ident.go
@@ -31,6 +31,10 @@
 // KeyID is the public part of a caller key.
 type KeyID string
 
+// PromptPart names a part of a prompt by its content. Requests that share the part have
+// the same name for it.
+type PromptPart string
+
 // Route names a path prefix that leads to a model API or a plain service.
 type Route string
 
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -25,7 +25,9 @@
 	MaxOutputTokens int64
 	TokensKnown     bool  // the caller stated the prompt and output tokens
 	OutputHint      int64 // the caller's estimate of the output tokens; 0 if not stated
-	Resumes         bool  // continues a stream after the last event that the caller received
+	// SharedParts are the parts of the prompt that other requests may have too.
+	SharedParts []ident.PromptPart
+	Resumes     bool // continues a stream after the last event that the caller received
 }
 
 // Outcome classifies the end of a call to a backend server.
--- a/pkg/relay/log.go
+++ b/pkg/relay/log.go
@@ -17,6 +17,7 @@
 	Backend      ident.BackendID
 	Peer         ident.HostID
 	Domain       ident.FailureDomain
+	PromptParts  []ident.PromptPart // shared with other requests
 	Attempt      int
 	Version      uint64        // of the configuration
 	Age          time.Duration // of the configuration, or as the step defines
@@ -45,13 +46,14 @@
 // decision returns a log line about a request.
 func (r *Relay) decision(q *request, step, outcome string) Decision {
 	d := Decision{
-		Step:      step,
-		RequestID: q.spec.RequestID,
-		Backend:   q.target.ID,
-		Attempt:   q.attempt,
-		Age:       r.age(),
-		Took:      r.now.Sub(q.arrived),
-		Outcome:   outcome,
+		Step:        step,
+		RequestID:   q.spec.RequestID,
+		Backend:     q.target.ID,
+		PromptParts: q.spec.SharedParts,
+		Attempt:     q.attempt,
+		Age:         r.age(),
+		Took:        r.now.Sub(q.arrived),
+		Outcome:     outcome,
 	}
 	if r.snapshot != nil {
 		d.Version = r.snapshot.Version
--- a/pkg/relayhost/log.go
+++ b/pkg/relayhost/log.go
@@ -106,6 +106,9 @@
 	text("backend", string(d.Backend))
 	text("peer", string(d.Peer))
 	text("domain", string(d.Domain))
+	if len(d.PromptParts) > 0 {
+		fields = append(fields, zap.Any("prompt_parts", d.PromptParts))
+	}
 	if d.Attempt > 0 {
 		fields = append(fields, zap.Int("attempt", d.Attempt))
 	}
