quarantine, relay, relayhost: keep parts of prompts that crash servers from the servers

Callers saw engine after engine crash under requests with one part of their prompts, and lost the streams that ran there. Cause: the router did not know what such requests have in common, and each host saw few of the crashes.

pkg/quarantine counts crashes of different servers by part; hosts exchange crashes and completed answers in their heartbeats. A part is quarantined after three servers without a completed answer in between; requests with it are refused at once, with the time until the next probe as Retry-After. A crash is a connection that the server closed at the start of the answer while it refuses new ones, so that resets and partitions suspect nothing.

--- /dev/null
+++ b/pkg/quarantine/tracker.go
@@ -0,0 +1,302 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+)
+
+// Config holds the settings of a Tracker.
+type Config struct {
+	// Crashes is the number of servers that must crash under a part before it is
+	// quarantined. A lower number loses fewer servers to a harmful part and suspects sound
+	// ones more often.
+	Crashes int
+	// Spacing is the time within which crashes count as one, because they may have a
+	// common cause, such as a failed rack.
+	Spacing time.Duration
+	// CrashTTL is how long a crash counts.
+	CrashTTL time.Duration
+	// CompletedTTL is how long a completed answer counts as evidence that a part is sound.
+	CompletedTTL time.Duration
+	// CompletedGrace is how long such a part may go without another completed answer after
+	// a crash before it is quarantined.
+	CompletedGrace time.Duration
+	// ProbeAfter is the time until the first probe of a quarantined part. It doubles with
+	// each probe that crashes a server, up to ProbeAfterMax.
+	ProbeAfter    time.Duration
+	ProbeAfterMax time.Duration
+	// ProbeTimeout is how long other requests wait for the result of a probe.
+	ProbeTimeout time.Duration
+	// ProbeTurn is the time that each host has for a probe before it is the turn of the
+	// next. It must exceed the time in which hosts learn of a probe.
+	ProbeTurn time.Duration
+	// ForgetAfter is how long a part stays quarantined after its probe is due if no request
+	// asks for it.
+	ForgetAfter time.Duration
+}
+
+// DefaultConfig returns settings for servers that are back a few seconds after a crash.
+func DefaultConfig() Config {
+	return Config{
+		Crashes:        3,
+		Spacing:        100 * time.Millisecond,
+		CrashTTL:       30 * time.Second,
+		CompletedTTL:   time.Minute,
+		CompletedGrace: 3 * time.Second,
+		ProbeAfter:     30 * time.Second,
+		ProbeAfterMax:  10 * time.Minute,
+		ProbeTimeout:   5 * time.Second,
+		ProbeTurn:      2 * time.Second,
+		ForgetAfter:    time.Minute,
+	}
+}
+
+const (
+	// maxCrashes and maxCompleted limit what is remembered.
+	maxCrashes   = 256
+	maxCompleted = 4096
+	// sameCrash is the largest difference between the times at which hosts notice a crash.
+	sameCrash = time.Second
+)
+
+// Tracker decides for one host which parts are quarantined. It is not safe for concurrent
+// use.
+type Tracker struct {
+	cfg       Config
+	newsDelay time.Duration // see SetNewsDelay
+	crashes   []crash       // sorted by time
+	completed map[ident.PromptPart]completion
+	suspects  map[ident.PromptPart]*suspect
+	refuted   map[ident.PromptPart]time.Time // when this host last had to say that a part is sound
+	changes   []Change
+	unsent    bool // see HasNews
+}
+
+// crash is a server that crashed under a request that it had just begun to answer.
+type crash struct {
+	backend   ident.BackendID
+	at        time.Time
+	parts     []ident.PromptPart
+	own       bool // noticed by this host
+	explained bool // by a part that has been quarantined
+}
+
+// completion is the last completed answer with a part.
+type completion struct {
+	at  time.Time // anywhere, as far as is known
+	own time.Time // at this host
+}
+
+// New returns a Tracker that knows of no crash.
+func New(cfg Config) *Tracker {
+	return &Tracker{
+		cfg:       cfg,
+		completed: map[ident.PromptPart]completion{},
+		suspects:  map[ident.PromptPart]*suspect{},
+		refuted:   map[ident.PromptPart]time.Time{},
+	}
+}
+
+// SetNewsDelay sets the time within which the notes of other hosts arrive. A part is not
+// quarantined earlier after its first crash, so that hosts which have completed answers
+// with it can say so.
+func (t *Tracker) SetNewsDelay(d time.Duration) { t.newsDelay = d }
+
+// Crashed records that a server crashed when it began to answer a request with the given
+// parts, in the order of the prompt.
+func (t *Tracker) Crashed(now time.Time, backend ident.BackendID, parts []ident.PromptPart) {
+	if len(parts) > 0 && t.addCrash(crash{backend: backend, at: now, parts: parts, own: true}) {
+		t.unsent = true
+		t.evaluate(now)
+	}
+}
+
+// addCrash adds a crash unless it is known, and reports whether it was new.
+func (t *Tracker) addCrash(c crash) bool {
+	at := len(t.crashes)
+	for i, known := range t.crashes {
+		near := c.at.Sub(known.at).Abs() < sameCrash && known.backend == c.backend
+		if near && slices.Equal(known.parts, c.parts) {
+			return false
+		}
+		// All requests that began when the server crashed share its cause.
+		c.explained = c.explained || near && known.explained
+		if known.at.After(c.at) {
+			at = min(at, i)
+		}
+	}
+	t.crashes = slices.Insert(t.crashes, at, c)
+	for _, p := range c.parts {
+		if t.suspects[p] != nil {
+			t.explain(p)
+		}
+	}
+	if len(t.crashes) > maxCrashes {
+		t.crashes = slices.Delete(t.crashes, 0, len(t.crashes)-maxCrashes)
+	}
+	return true
+}
+
+// explain marks the crashes under a quarantined part, so that they are not held against
+// the other parts of the requests that ran on the crashed servers.
+func (t *Tracker) explain(p ident.PromptPart) {
+	for _, c := range t.crashes {
+		if !slices.Contains(c.parts, p) {
+			continue
+		}
+		for i := range t.crashes {
+			other := &t.crashes[i]
+			if other.backend == c.backend && other.at.Sub(c.at).Abs() < sameCrash {
+				other.explained = true
+			}
+		}
+	}
+}
+
+// Completed records a completed answer to a request with the given parts.
+func (t *Tracker) Completed(now time.Time, parts []ident.PromptPart) {
+	for _, p := range parts {
+		t.setCompleted(now, p, completion{at: now, own: now})
+	}
+}
+
+func (t *Tracker) setCompleted(now time.Time, p ident.PromptPart, c completion) {
+	if _, known := t.completed[p]; !known && len(t.completed) >= maxCompleted {
+		t.makeRoom(now)
+	}
+	t.completed[p] = c
+	if s := t.suspects[p]; s != nil && c.at.After(s.since) {
+		t.refute(now, p, c)
+		t.unsent = t.unsent || c.own.Equal(c.at)
+		t.release(p, Cleared)
+	}
+}
+
+// refute makes the notes say that this host has completed an answer with a part.
+func (t *Tracker) refute(now time.Time, p ident.PromptPart, c completion) {
+	if c.own.Equal(c.at) {
+		t.refuted[p] = now
+	}
+}
+
+// release ends the quarantine of a part. What it explained counts against other parts again.
+func (t *Tracker) release(p ident.PromptPart, kind ChangeKind) {
+	delete(t.suspects, p)
+	for i := range t.crashes {
+		t.crashes[i].explained = false
+	}
+	for other := range t.suspects {
+		t.explain(other)
+	}
+	t.changes = append(t.changes, Change{Part: p, Kind: kind})
+}
+
+// makeRoom drops the completed answers that no longer count, or any if the others fill the
+// table: a part without one is only suspected sooner.
+func (t *Tracker) makeRoom(now time.Time) {
+	maps.DeleteFunc(t.completed, func(_ ident.PromptPart, c completion) bool {
+		return now.Sub(c.at) >= t.cfg.CompletedTTL
+	})
+	for p := range t.completed {
+		if len(t.completed) < maxCompleted {
+			return
+		}
+		delete(t.completed, p)
+	}
+}
+
+// Tick forgets what has expired and quarantines the parts for which that is due.
+func (t *Tracker) Tick(now time.Time) {
+	expired := 0
+	for expired < len(t.crashes) && now.Sub(t.crashes[expired].at) >= t.cfg.CrashTTL {
+		expired++
+	}
+	t.crashes = slices.Delete(t.crashes, 0, expired)
+	for p, s := range t.suspects {
+		if t.forgotten(now, s) {
+			t.release(p, Expired)
+		}
+	}
+	maps.DeleteFunc(t.refuted, func(_ ident.PromptPart, at time.Time) bool { return now.Sub(at) >= noteTTL })
+	t.evaluate(now)
+}
+
+// evaluate quarantines the parts that explain the crashes best.
+func (t *Tracker) evaluate(now time.Time) {
+	for {
+		best, ok := t.mostSuspicious(now)
+		if !ok {
+			return
+		}
+		t.quarantine(now, best)
+	}
+}
+
+// accusation is what speaks against a part.
+type accusation struct {
+	part      ident.PromptPart
+	servers   []ident.BackendID // that crashed since the last completed answer
+	first     time.Time         // first of these crashes
+	completed time.Time         // last completed answer; zero if none is known
+	position  int               // in the prompt
+}
+
+// mostSuspicious returns the part that is to be quarantined next, if any: one without a
+// completed answer before others, then the one that explains most of the crashes that
+// nothing else explains. Of parts that always occur together it is the last one in the
+// prompt, because more other requests share those before it.
+func (t *Tracker) mostSuspicious(now time.Time) (accusation, bool) {
+	var due []accusation
+	seen := map[ident.PromptPart]bool{}
+	for _, c := range t.crashes {
+		for i, p := range c.parts {
+			if c.explained || seen[p] {
+				continue
+			}
+			seen[p] = true
+			if a := t.accuse(now, p, i); t.isDue(now, a) {
+				due = append(due, a)
+			}
+		}
+	}
+	if len(due) == 0 {
+		return accusation{}, false
+	}
+	return slices.MinFunc(due, func(a, b accusation) int {
+		return cmp.Or(a.completed.Compare(b.completed), cmp.Compare(len(b.servers), len(a.servers)),
+			cmp.Compare(b.position, a.position), cmp.Compare(a.part, b.part))
+	}), true
+}
+
+// accuse collects the crashes under a part.
+func (t *Tracker) accuse(now time.Time, p ident.PromptPart, position int) accusation {
+	a := accusation{part: p, position: position}
+	if c := t.completed[p]; now.Sub(c.at) < t.cfg.CompletedTTL {
+		a.completed = c.at
+	}
+	var last time.Time
+	for _, c := range t.crashes {
+		if c.explained || !c.at.After(a.completed) || !slices.Contains(c.parts, p) || slices.Contains(a.servers, c.backend) {
+			continue
+		}
+		if len(a.servers) == 0 {
+			a.first = c.at
+		} else if c.at.Sub(last) < t.cfg.Spacing {
+			continue
+		}
+		a.servers, last = append(a.servers, c.backend), c.at
+	}
+	return a
+}
+
+func (t *Tracker) isDue(now time.Time, a accusation) bool {
+	wait := t.newsDelay
+	if !a.completed.IsZero() {
+		wait = max(wait, t.cfg.CompletedGrace)
+	}
+	return len(a.servers) >= t.cfg.Crashes && now.Sub(a.first) >= wait
+}
--- a/pkg/relay/admit.go
+++ b/pkg/relay/admit.go
@@ -70,6 +70,9 @@
 		return 503, NoBackend, retryAfterStartup
 	}
 	r.setDeadlines(q)
+	if wait, ok := r.checkParts(q); !ok {
+		return 503, BadPart, wait
+	}
 	return r.chargeQuota(q)
 }
 
--- a/pkg/relay/aggregators.go
+++ b/pkg/relay/aggregators.go
@@ -128,6 +128,6 @@
 	r.emit(Send{To: to, Message: Message{Heartbeat: roster.Heartbeat{From: self}, Relayed: uses}})
 }
 
-// isRelay reports whether a message is one of relayReports and no heartbeat, whose
-// sequence starts at 1.
+// isRelay reports whether a message is one of relayReports or sendPartNotes and no
+// heartbeat, whose sequence starts at 1.
 func (m *Message) isRelay() bool { return m.Heartbeat.Sequence == 0 }
--- a/pkg/relay/config.go
+++ b/pkg/relay/config.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
+	"github.com/mulberrystream/mulberrystream/pkg/quarantine"
 	"github.com/mulberrystream/mulberrystream/pkg/quota"
 	"github.com/mulberrystream/mulberrystream/pkg/roster"
 )
@@ -15,6 +16,7 @@
 	Roster   roster.Config
 	Quota    quota.Config
 	Backends backends.Config
+	Parts    quarantine.Config
 
 	// StaleAfter is the age of the configuration beyond which requests that need a
 	// key are refused, because the key may have been revoked since. It is the
@@ -56,6 +58,7 @@
 		Roster:       roster.DefaultConfig(self, seeds),
 		Quota:        quota.DefaultConfig(),
 		Backends:     servers,
+		Parts:        quarantine.DefaultConfig(),
 		StaleAfter:   4 * time.Second,
 		ApplyWithin:  2 * time.Second,
 		RetryRatio:   0.2,
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -6,6 +6,7 @@
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
 	"github.com/mulberrystream/mulberrystream/pkg/catalog"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/quarantine"
 	"github.com/mulberrystream/mulberrystream/pkg/quota"
 	"github.com/mulberrystream/mulberrystream/pkg/roster"
 )
@@ -96,9 +97,11 @@
 	ID      ID
 	Attempt int
 	Outcome Outcome
-	Status  int    // of the backend server; 0 without an answer
-	Started bool   // part of the answer has been sent to the caller
-	Events  int    // stream events relayed by this call
+	Status  int  // of the backend server; 0 without an answer
+	Started bool // part of the answer has been sent to the caller
+	Events  int  // stream events relayed by this call
+	// Crashed reports that the process of the backend server ended when it began the answer.
+	Crashed bool
 	Framing string // what delimits the body of a stream, for the log
 	Took    time.Duration
 }
@@ -179,6 +182,8 @@
 	Version     uint64            `cbor:"9,keyasint,omitempty"` // of the sender's configuration
 	// Relayed are admitted tokens that other hosts reported to the sender, see aggregators.
 	Relayed []quota.RelayedUse `cbor:"10,keyasint,omitempty"`
+	// Parts is what the sender knows of parts of prompts that crash backend servers.
+	Parts *quarantine.Notes `cbor:"11,keyasint,omitempty"`
 }
 
 // UnreachableNote names a backend server that the sender failed to reach.
--- /dev/null
+++ b/pkg/relay/parts.go
@@ -0,0 +1,128 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/quarantine"
+	"github.com/mulberrystream/mulberrystream/pkg/roster"
+)
+
+const (
+	// maxCrashes is the number of backend servers that may crash under one request. After
+	// that it is not sent to another one.
+	maxCrashes = 2
+	// partNotesInterval is the minimum time between two messages of sendPartNotes.
+	partNotesInterval = 100 * time.Millisecond
+	// partNotesMargin is added to the heartbeat interval to get the time in which every
+	// host has heard from all others.
+	partNotesMargin = 200 * time.Millisecond
+	// retryAfterSpread is the fraction by which the Retry-After of refused requests is
+	// extended at random, so that they do not all return at the same time.
+	retryAfterSpread = 0.25
+)
+
+// checkParts decides whether a new request may run in view of the parts of its prompt.
+func (r *Relay) checkParts(q *request) (retryAfter time.Duration, ok bool) {
+	v := r.parts.Check(r.now, q.spec.SharedParts, r.probeTurn)
+	if v.Blocked != "" {
+		return r.spread(v.Wait), false
+	}
+	q.probes = v.Probes
+	return 0, true
+}
+
+// spread extends a Retry-After by a random part.
+func (r *Relay) spread(wait time.Duration) time.Duration {
+	wait = max(wait, minOverloadRetryAfter)
+	return wait + time.Duration(r.rng.Float64()*retryAfterSpread*float64(wait))
+}
+
+// probeTurn returns the position of this host in the order in which hosts probe a part.
+func (r *Relay) probeTurn(p ident.PromptPart) int {
+	ids := []ident.HostID{r.cfg.Roster.Self.ID}
+	for _, h := range r.roster.Alive(r.now) {
+		ids = append(ids, h.ID)
+	}
+	return slices.Index(ident.Rank(string(p), ids), r.cfg.Roster.Self.ID)
+}
+
+// quarantined ends a request if a part of its prompt has been quarantined since it was
+// admitted, and reports whether it did.
+func (r *Relay) quarantined(q *request) bool {
+	p := r.parts.Blocks(q.spec.SharedParts, q.probes)
+	if p == "" {
+		return false
+	}
+	r.fail(q, BadPart, r.spread(r.parts.Wait(r.now, p)))
+	return true
+}
+
+// refuseQuarantined ends the queued requests whose parts have been quarantined.
+func (r *Relay) refuseQuarantined() {
+	if !r.parts.HasChanges() {
+		return
+	}
+	for _, q := range r.requests {
+		if q.phase == queued {
+			r.quarantined(q)
+		}
+	}
+}
+
+// recordParts records what the end of a call says about the parts of the prompt.
+func (r *Relay) recordParts(q *request, e CallEnded) {
+	switch {
+	case e.Crashed:
+		q.crashes++
+		r.logRequest(q, "server_crashed", "when it began the answer")
+		r.parts.Crashed(r.now, q.target.ID, q.spec.SharedParts)
+		if q.probes != "" {
+			r.parts.ProbeCrashed(r.now, q.probes)
+			q.probes = ""
+		}
+	case e.Outcome == Succeeded:
+		r.parts.Completed(r.now, q.spec.SharedParts)
+	}
+}
+
+func (r *Relay) tickParts() {
+	r.parts.SetNewsDelay(r.roster.Interval() + partNotesMargin)
+	r.parts.Tick(r.now)
+}
+
+// sendPartNotes sends new notes about parts to all hosts at once where heartbeats are too
+// far apart. A whole heartbeat to all hosts of a large fleet would occupy the link.
+func (r *Relay) sendPartNotes() {
+	if !r.hasAggregators() || !r.parts.HasNews() || r.now.Sub(r.partNotesAt) < partNotesInterval {
+		return
+	}
+	r.partNotesAt = r.now
+	var to []string
+	for _, h := range r.roster.Alive(r.now) {
+		to = append(to, h.Addr)
+	}
+	r.parts.MarkSent()
+	r.emit(Send{To: to, Message: Message{Heartbeat: roster.Heartbeat{From: r.cfg.Roster.Self}, Parts: r.parts.Notes(r.now)}})
+}
+
+// logPartChanges logs the changes of quarantined parts.
+func (r *Relay) logPartChanges() {
+	for _, c := range r.parts.Changes() {
+		d := Decision{Step: "quarantine", PromptParts: []ident.PromptPart{c.Part}, Outcome: c.Kind.String()}
+		if c.Kind == quarantine.Quarantined {
+			d.Detail = serverList(c.Servers)
+		}
+		r.log(d)
+	}
+}
+
+// serverList formats the servers that crashed under a part.
+func serverList(servers []ident.BackendID) string {
+	text := "crashed:"
+	for _, s := range servers {
+		text += " " + string(s)
+	}
+	return text
+}
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -8,6 +8,9 @@
 // callPlain sends a request to the plain backend server that is expected to answer
 // first.
 func (r *Relay) callPlain(q *request) {
+	if r.quarantined(q) {
+		return
+	}
 	to, ok := r.backends.PickPlain(r.now, backends.Query{
 		Service:         q.service.Name,
 		Stage:           backends.Plain,
@@ -47,6 +50,7 @@
 
 func (r *Relay) plainCallEnded(q *request, e CallEnded) {
 	r.recordOutcome(q.target.ID, e.Outcome, backends.Full)
+	r.recordParts(q, e)
 	r.release(q)
 	if e.Outcome.ran() {
 		q.mayHaveRun = true
@@ -71,7 +75,7 @@
 // takes the retry from the budget.
 func (r *Relay) shouldRetry(q *request, e CallEnded) bool {
 	switch {
-	case e.Outcome == Aborted || q.started:
+	case e.Outcome == Aborted || q.started || q.crashes >= maxCrashes:
 		return false
 	case e.Outcome == Unsent:
 		// Nothing was sent, so the retry is not charged to the budget.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -10,6 +10,7 @@
 	"github.com/mulberrystream/mulberrystream/pkg/fairqueue"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 	"github.com/mulberrystream/mulberrystream/pkg/outputlen"
+	"github.com/mulberrystream/mulberrystream/pkg/quarantine"
 	"github.com/mulberrystream/mulberrystream/pkg/quota"
 	"github.com/mulberrystream/mulberrystream/pkg/retry"
 	"github.com/mulberrystream/mulberrystream/pkg/roster"
@@ -23,6 +24,8 @@
 
 	roster         *roster.Roster
 	quota          *quota.Limiter
+	parts          *quarantine.Tracker
+	partNotesAt    time.Time // last message of sendPartNotes
 	backends       *backends.Directory
 	budgets        map[ident.Route]*retry.Budget
 	queues         map[ident.Route]*queue
@@ -74,6 +77,7 @@
 		now:            now,
 		roster:         roster.New(cfg.Roster),
 		quota:          quota.New(cfg.Quota, now),
+		parts:          quarantine.New(cfg.Parts),
 		backends:       backends.NewDirectory(cfg.Backends),
 		budgets:        map[ident.Route]*retry.Budget{},
 		queues:         map[ident.Route]*queue{},
@@ -97,9 +101,12 @@
 	}
 	r.effects = nil
 	r.handle(e)
+	r.refuseQuarantined()
 	r.startQueued()
 	r.sendHeartbeat()
 	r.relayReports()
+	r.sendPartNotes()
+	r.logPartChanges()
 	return r.effects
 }
 
@@ -213,6 +220,7 @@
 	r.refreshBudgets()
 	r.dropSilentHosts()
 	r.suspendSilentDomains()
+	r.tickParts()
 	r.expireOrders()
 	r.replanRoles()
 	r.finishDrain()
@@ -227,6 +235,7 @@
 	if all {
 		r.quota.MarkReported()
 		r.backends.MarkReported()
+		r.parts.MarkSent()
 	}
 	if len(to) == 0 {
 		return
@@ -239,6 +248,7 @@
 		AgeMS:     r.age().Milliseconds(),
 		UpMS:      r.now.Sub(r.startedAt).Milliseconds(),
 		Version:   r.configVersion(),
+		Parts:     r.parts.Notes(r.now),
 	}
 	for id, l := range r.backends.OwnLoads() {
 		m.Load = append(m.Load, BackendLoad{Backend: id, Requests: l.Requests, Memory: l.Memory, Prompt: l.Prompt})
@@ -252,6 +262,7 @@
 func (r *Relay) messageReceived(m Message) {
 	if m.isRelay() {
 		r.quota.ApplyRelayed(r.now, m.Relayed)
+		r.parts.Apply(r.now, m.Parts)
 		return
 	}
 	fresh, restarted := r.roster.Receive(r.now, m.Heartbeat)
@@ -284,6 +295,7 @@
 	}
 	r.backends.SetPeerLoads(from.ID, loads)
 	r.applyUnreachableReports(m.Unreachable)
+	r.parts.Apply(r.now, m.Parts)
 	r.applyPeerRoles(from.ID, restarted, m)
 }
 
--- a/pkg/relay/staged.go
+++ b/pkg/relay/staged.go
@@ -12,6 +12,9 @@
 
 // enqueue adds a request to the queue for decode memory.
 func (r *Relay) enqueue(q *request) {
+	if r.quarantined(q) {
+		return
+	}
 	q.phase = queued
 	qu := r.queues[q.service.Name]
 	if qu == nil {
@@ -175,6 +178,9 @@
 // prefillOrDecode starts the prefill of a request, or its decode if no prefill engine is
 // available, in which case the decode engine does the prefill itself.
 func (r *Relay) prefillOrDecode(q *request) {
+	if r.quarantined(q) {
+		return
+	}
 	query := r.prefillQuery(q)
 	query.UnseenRequests = r.unreportedRequests(q.service.Name)
 	to, wait, ok := r.backends.PickPrefill(r.now, query)
@@ -221,6 +227,9 @@
 
 // decode runs a request at the engine that has reserved memory for it.
 func (r *Relay) decode(q *request) {
+	if r.quarantined(q) {
+		return
+	}
 	q.phase = decoding
 	q.attempt++
 	d := Decode{
@@ -272,6 +281,7 @@
 
 func (r *Relay) decodeEnded(q *request, e CallEnded) {
 	r.recordOutcome(q.target.ID, e.Outcome, backends.Full)
+	r.recordParts(q, e)
 	if e.Outcome.ran() {
 		q.mayHaveRun = true
 		q.runs++
@@ -331,7 +341,7 @@
 // takes a retry from the budget unless the request was not sent.
 func (r *Relay) resumable(q *request, e CallEnded) bool {
 	switch {
-	case e.Outcome == Aborted:
+	case e.Outcome == Aborted || q.crashes >= maxCrashes:
 		return false
 	case e.Outcome == Unsent:
 		return r.hasTimeLeft(q) && q.retries < maxRetries
--- a/pkg/relayhost/calls.go
+++ b/pkg/relayhost/calls.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"iter"
+	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -56,6 +59,7 @@
 	ended.Took = boottime.Now().Sub(begin)
 	if err != nil {
 		ended.Outcome = x.errorOutcome(err, e.To)
+		ended.Crashed = x.hasCrashed(e.To.Addr, err)
 		return ended
 	}
 	ended.Status = resp.StatusCode()
@@ -117,6 +121,34 @@
 	return relay.Lost
 }
 
+const (
+	// eventsAtCrash is the number of events of a stream that a server may have sent if it
+	// crashed when it began the answer.
+	eventsAtCrash = 2
+	// crashCheckTimeout limits the time that a request waits for the check of a server.
+	crashCheckTimeout = 100 * time.Millisecond
+)
+
+// hasCrashed reports whether the process at an address has ended after it had received a
+// request: it closed the connection and refuses new ones. A server that only resets
+// connections still accepts them, and one that is cut off does not refuse them.
+func (x *exchange) hasCrashed(addr string, err error) bool {
+	var failed *sendonce.Error
+	if len(x.spec.SharedParts) == 0 || errors.As(err, &failed) && !failed.Sent || !closedByPeer(err) {
+		return false
+	}
+	c, err := net.DialTimeout("tcp", addr, crashCheckTimeout)
+	if err == nil {
+		_ = c.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+func closedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 func (x *exchange) reserve(e relay.Reserve) relay.Event {
 	req := fasthttp.AcquireRequest()
 	x.host.dialect.Reserve(req, e.To.ID, e.Tokens, e.TTL)
