quarantine, relay: say at once that an accused part is sound

In large fleets a part was quarantined only after a heartbeat interval of 2.4 s, so that hosts which complete answers with it could say so in their next heartbeats.

--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -18,6 +18,10 @@
 	// Spacing is the time within which crashes count as one, because they may have a
 	// common cause, such as a failed rack.
 	Spacing time.Duration
+	// NewsDelay is the time within which the notes of other hosts arrive. A part is not
+	// quarantined earlier after its first crash, so that hosts that complete answers with
+	// it can say so.
+	NewsDelay time.Duration
 	// CrashTTL is how long a crash counts.
 	CrashTTL time.Duration
 	// CompletedTTL is how long a completed answer counts as evidence that a part is sound.
@@ -44,6 +48,7 @@
 	return Config{
 		Crashes:        3,
 		Spacing:        100 * time.Millisecond,
+		NewsDelay:      400 * time.Millisecond,
 		CrashTTL:       30 * time.Second,
 		CompletedTTL:   time.Minute,
 		CompletedGrace: 3 * time.Second,
@@ -67,8 +72,7 @@
 // use.
 type Tracker struct {
 	cfg       Config
-	newsDelay time.Duration // see SetNewsDelay
-	crashes   []crash       // sorted by time
+	crashes   []crash // sorted by time
 	completed map[ident.PromptPart]completion
 	suspects  map[ident.PromptPart]*suspect
 	refuted   map[ident.PromptPart]time.Time // when this host last had to say that a part is sound
@@ -101,11 +105,6 @@
 	}
 }
 
-// SetNewsDelay sets the time within which the notes of other hosts arrive. A part is not
-// quarantined earlier after its first crash, so that hosts which have completed answers
-// with it can say so.
-func (t *Tracker) SetNewsDelay(d time.Duration) { t.newsDelay = d }
-
 // Crashed records that a server crashed when it began to answer a request with the given
 // parts, in the order of the prompt.
 func (t *Tracker) Crashed(now time.Time, backend ident.BackendID, parts []ident.PromptPart) {
@@ -160,10 +159,21 @@
 // Completed records a completed answer to a request with the given parts.
 func (t *Tracker) Completed(now time.Time, parts []ident.PromptPart) {
 	for _, p := range parts {
+		// The other hosts need not say so too once they have heard it.
+		t.unsent = t.unsent || t.accused(p)
 		t.setCompleted(now, p, completion{at: now, own: now})
 	}
 }
 
+// accused reports whether a server has crashed under a part since the last completed
+// answer, and nothing else explains it.
+func (t *Tracker) accused(p ident.PromptPart) bool {
+	last := t.completed[p].at
+	return slices.ContainsFunc(t.crashes, func(c crash) bool {
+		return !c.explained && c.at.After(last) && slices.Contains(c.parts, p)
+	})
+}
+
 func (t *Tracker) setCompleted(now time.Time, p ident.PromptPart, c completion) {
 	if _, known := t.completed[p]; !known && len(t.completed) >= maxCompleted {
 		t.makeRoom(now)
@@ -294,7 +304,7 @@
 }
 
 func (t *Tracker) isDue(now time.Time, a accusation) bool {
-	wait := t.newsDelay
+	wait := t.cfg.NewsDelay
 	if !a.completed.IsZero() {
 		wait = max(wait, t.cfg.CompletedGrace)
 	}
--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -23,12 +23,8 @@
 	now time.Time
 }
 
-const newsDelay = 300 * time.Millisecond
-
 func newHost() *host {
-	h := &host{Tracker: quarantine.New(quarantine.DefaultConfig()), now: time.Unix(1000, 0)}
-	h.SetNewsDelay(newsDelay)
-	return h
+	return &host{Tracker: quarantine.New(quarantine.DefaultConfig()), now: time.Unix(1000, 0)}
 }
 
 func (h *host) wait(d time.Duration) {
@@ -146,7 +142,7 @@
 			share(hosts...)
 		}
 		for _, h := range hosts {
-			h.wait(newsDelay)
+			h.wait(quarantine.DefaultConfig().NewsDelay)
 			Expect(h.Suspects()).To(ConsistOf(ident.PromptPart("bad")))
 		}
 	})
--- a/pkg/relay/parts.go
+++ b/pkg/relay/parts.go
@@ -15,9 +15,6 @@
 	maxCrashes = 2
 	// partNotesInterval is the minimum time between two messages of sendPartNotes.
 	partNotesInterval = 100 * time.Millisecond
-	// partNotesMargin is added to the heartbeat interval to get the time in which every
-	// host has heard from all others.
-	partNotesMargin = 200 * time.Millisecond
 	// retryAfterSpread is the fraction by which the Retry-After of refused requests is
 	// extended at random, so that they do not all return at the same time.
 	retryAfterSpread = 0.25
@@ -87,11 +84,6 @@
 	}
 }
 
-func (r *Relay) tickParts() {
-	r.parts.SetNewsDelay(r.roster.Interval() + partNotesMargin)
-	r.parts.Tick(r.now)
-}
-
 // sendPartNotes sends new notes about parts to all hosts at once where heartbeats are too
 // far apart. A whole heartbeat to all hosts of a large fleet would occupy the link.
 func (r *Relay) sendPartNotes() {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -220,7 +220,7 @@
 	r.refreshBudgets()
 	r.dropSilentHosts()
 	r.suspendSilentDomains()
-	r.tickParts()
+	r.parts.Tick(r.now)
 	r.expireOrders()
 	r.replanRoles()
 	r.finishDrain()
