--- a/pkg/quarantine/notes.go
+++ b/pkg/quarantine/notes.go
@@ -107,13 +107,16 @@
 	for _, note := range n.Suspects {
 		t.applySuspect(now, note)
 	}
+	added := false
 	for _, note := range n.Crashes {
 		at := before(now, note.AgeMS)
 		if len(note.Parts) > 0 && len(note.Parts) <= maxParts && now.Sub(at) < t.cfg.CrashTTL {
-			t.addCrash(crash{backend: note.Backend, at: at, parts: slices.Clone(note.Parts)})
+			added = t.addCrash(crash{backend: note.Backend, at: at, parts: slices.Clone(note.Parts)}) || added
 		}
 	}
-	t.evaluate(now)
+	if added {
+		t.evaluate(now)
+	}
 }
 
 // before returns the time that was the given age ago.
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -27,7 +27,8 @@
 	// CompletedTTL is how long a completed answer counts as evidence that a part is sound.
 	CompletedTTL time.Duration
 	// CompletedGrace is how long such a part may go without another completed answer after
-	// a crash before it is quarantined.
+	// a crash before it is quarantined. It is also the time that servers have to complete
+	// any answer: if they do not, the fault need not be in the requests.
 	CompletedGrace time.Duration
 	// ProbeAfter is the time until the first probe of a quarantined part. It doubles with
 	// each probe that crashes a server, up to ProbeAfterMax.
@@ -74,6 +75,7 @@
 	cfg       Config
 	crashes   []crash // sorted by time
 	completed map[ident.PromptPart]completion
+	lastOwn   time.Time // last completed answer at this host, whatever its parts
 	suspects  map[ident.PromptPart]*suspect
 	refuted   map[ident.PromptPart]time.Time // when this host last had to say that a part is sound
 	changes   []Change
@@ -158,6 +160,9 @@
 
 // Completed records a completed answer to a request with the given parts.
 func (t *Tracker) Completed(now time.Time, parts []ident.PromptPart) {
+	if len(parts) > 0 {
+		t.lastOwn = now
+	}
 	for _, p := range parts {
 		// The other hosts need not say so too once they have heard it.
 		t.unsent = t.unsent || t.accused(p)
@@ -237,7 +242,7 @@
 
 // evaluate quarantines the parts that explain the crashes best.
 func (t *Tracker) evaluate(now time.Time) {
-	for {
+	for len(t.crashes) >= t.cfg.Crashes {
 		best, ok := t.mostSuspicious(now)
 		if !ok {
 			return
@@ -261,13 +266,15 @@
 // prompt, because more other requests share those before it.
 func (t *Tracker) mostSuspicious(now time.Time) (accusation, bool) {
 	var due []accusation
-	seen := map[ident.PromptPart]bool{}
+	count := map[ident.PromptPart]int{}
 	for _, c := range t.crashes {
+		if c.explained {
+			continue
+		}
 		for i, p := range c.parts {
-			if c.explained || seen[p] {
+			if count[p]++; count[p] != t.cfg.Crashes {
 				continue
 			}
-			seen[p] = true
 			if a := t.accuse(now, p, i); t.isDue(now, a) {
 				due = append(due, a)
 			}
@@ -305,7 +312,7 @@
 
 func (t *Tracker) isDue(now time.Time, a accusation) bool {
 	wait := t.cfg.NewsDelay
-	if !a.completed.IsZero() {
+	if !a.completed.IsZero() || t.lastOwn.Before(a.first) {
 		wait = max(wait, t.cfg.CompletedGrace)
 	}
 	return len(a.servers) >= t.cfg.Crashes && now.Sub(a.first) >= wait
--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -32,10 +32,12 @@
 	h.Tick(h.now)
 }
 
-// crash has a server crash under a request, a second after what came before.
+// crash has a server crash under a request, a second after what came before. Other
+// requests are served.
 func (h *host) crash(server string, parts ...ident.PromptPart) {
 	h.wait(time.Second)
 	h.Crashed(h.now, ident.BackendID(server), parts)
+	h.complete("another")
 }
 
 func (h *host) complete(parts ...ident.PromptPart) { h.Completed(h.now, parts) }
@@ -84,6 +86,18 @@
 		Expect(h.Suspects()).To(ConsistOf(ident.PromptPart("bad")))
 	})
 
+	It("is quarantined late if no answer is completed at all", func() {
+		h := newHost()
+		for i := range 3 {
+			h.wait(200 * time.Millisecond)
+			h.Crashed(h.now, ident.BackendID(fmt.Sprint("s", i)), []ident.PromptPart{"bad"})
+		}
+		h.wait(2 * time.Second)
+		Expect(h.Suspects()).To(BeEmpty())
+		h.wait(time.Second)
+		Expect(h.Suspects()).NotTo(BeEmpty())
+	})
+
 	DescribeTable("is not quarantined",
 		func(act func(h *host)) {
 			h := newHost()
