backends, relay, platform: servers that announce that they leave get no new requests

Nothing read Server-Leaving; a server that the list has as ready, or that leaves while the store is down, got new requests until it was gone. platform/ now decodes the header from every answer: plain calls, errors, refusals, reservations, prefills, the header of a stream and calls that free memory. The announcement is final for the process (id and start time), whatever the list says; running work goes on.

--- a/pkg/backends/directory.go
+++ b/pkg/backends/directory.go
@@ -21,7 +21,8 @@
 	candidateBuf []candidate // reused by candidates
 	newReport    bool        // see HasNewReport
 	departed     map[ident.BackendID]departure
-	withheld     map[ident.BackendID]int64 // start times of the processes withheld after a restore
+	leaving      map[ident.BackendID]announcement // see AnnounceLeaving
+	withheld     map[ident.BackendID]int64        // start times of the processes withheld after a restore
 	withheldTill time.Time
 }
 
@@ -34,6 +35,7 @@
 
 	removeAt    time.Time // end of the grace period of a missing entry; zero if listed
 	unconfirmed bool      // missing after a restore of the store, so still in use until removeAt
+	leaving     bool      // announced by the server itself
 	unusedUntil time.Time // the entry may be outdated until then, see StoreRestored
 	lastFull    time.Time // last rejection for lack of capacity
 
@@ -55,6 +57,7 @@
 		peerLoads:   map[ident.HostID]map[ident.BackendID]Load{},
 		prefillFits: map[ident.Route]*linearFit{},
 		departed:    map[ident.BackendID]departure{},
+		leaving:     map[ident.BackendID]announcement{},
 		rng:         rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
 }
@@ -68,7 +71,7 @@
 	s := d.servers[e.ID]
 	if s == nil || s.Service != e.Service || s.StartedAt != e.StartedAt {
 		d.Remove(e.ID)
-		s = &server{Entry: e}
+		s = &server{Entry: e, leaving: d.hasAnnounced(e.ID, e.StartedAt)}
 		d.servers[e.ID] = s
 		d.index(s)
 		d.recountPeerLoad(s)
@@ -159,18 +162,22 @@
 		if s.switching(now) {
 			at = s.switchTo
 		}
-		if at == stage && !s.Draining && s.listed(now) && !s.suspended(now) {
+		if at == stage && !s.departing() && s.listed(now) && !s.suspended(now) {
 			n++
 		}
 	}
 	return n
 }
 
-// Listed reports whether any server of a service in a stage is known and not draining,
+// departing reports whether the server is about to stop, as the list or the server itself
+// says.
+func (s *server) departing() bool { return s.Draining || s.leaving }
+
+// Listed reports whether any server of a service in a stage is known and not departing,
 // whether or not it is reachable.
 func (d *Directory) Listed(service ident.Route, stage Stage) bool {
 	return slices.ContainsFunc(d.byService[service], func(s *server) bool {
-		return s.Stage == stage && !s.Draining
+		return s.Stage == stage && !s.departing()
 	})
 }
 
@@ -259,5 +266,5 @@
 }
 
 func (s *server) target() Target {
-	return Target{ID: s.ID, Addr: s.Addr, Domain: s.Domain}
+	return Target{ID: s.ID, Addr: s.Addr, Domain: s.Domain, StartedAt: s.StartedAt}
 }
--- a/pkg/backends/pick.go
+++ b/pkg/backends/pick.go
@@ -38,7 +38,7 @@
 
 // eligible reports whether a server may get the request, its load aside.
 func (s *server) eligible(now time.Time, q Query) bool {
-	if s.Stage != q.Stage || s.Draining || s.switching(now) || !s.listed(now) || !s.health.usable(now) {
+	if s.Stage != q.Stage || s.departing() || s.switching(now) || !s.listed(now) || !s.health.usable(now) {
 		return false
 	}
 	if q.Model != "" && len(s.Models) > 0 && !slices.Contains(s.Models, q.Model) {
@@ -170,7 +170,7 @@
 func (d *Directory) PickSwitch(now time.Time, service ident.Route, from Stage) (Target, bool) {
 	inDomain := map[ident.FailureDomain]int{}
 	for _, s := range d.byService[service] {
-		if s.Stage == from && !s.Draining && !s.switching(now) {
+		if s.Stage == from && !s.departing() && !s.switching(now) {
 			inDomain[s.Domain]++
 		}
 	}
--- a/pkg/backends/types.go
+++ b/pkg/backends/types.go
@@ -34,9 +34,16 @@
 
 // Target is the backend server picked for a request.
 type Target struct {
-	ID     ident.BackendID
-	Addr   string
-	Domain ident.FailureDomain
+	ID        ident.BackendID
+	Addr      string
+	Domain    ident.FailureDomain
+	StartedAt int64 // see Entry
+}
+
+// Notice is what a backend server says of itself in an answer.
+type Notice struct {
+	Leaving bool          // it is shutting down
+	Wait    time.Duration // it wants nothing from this host for so long; 0 for no such wish
 }
 
 // Load is the work that a backend server has running or queued.
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -121,6 +121,13 @@
 // EntryRemoved reports that an entry is no longer listed or is unusable.
 type EntryRemoved struct{ ID ident.BackendID }
 
+// ServerNoticed reports what a backend server says of itself in an answer.
+type ServerNoticed struct {
+	From      backends.Target
+	RequestID string // of the caller's request; empty for calls that no request waits for
+	Notice    backends.Notice
+}
+
 // PlatformReadSucceeded reports a successful read of the platform.
 type PlatformReadSucceeded struct {
 	Sent     time.Time
@@ -160,6 +167,7 @@
 func (EntriesListed) event()         {}
 func (EntryChanged) event()          {}
 func (EntryRemoved) event()          {}
+func (ServerNoticed) event()         {}
 func (PlatformReadSucceeded) event() {}
 func (PlatformReadFailed) event()    {}
 func (MessageReceived) event()       {}
@@ -184,6 +192,8 @@
 	Relayed []quota.RelayedUse `cbor:"10,keyasint,omitempty"`
 	// Parts is what the sender knows of parts of prompts that crash backend servers.
 	Parts *quarantine.Notes `cbor:"11,keyasint,omitempty"`
+	// Leaving are the backend servers that recently told the sender that they leave.
+	Leaving []LeavingNote `cbor:"12,keyasint,omitempty"`
 }
 
 // UnreachableNote names a backend server that the sender failed to reach.
@@ -193,6 +203,13 @@
 	AgeMS   int64 // since the last failure
 }
 
+// LeavingNote names a process of a backend server that has announced that it leaves.
+type LeavingNote struct {
+	_         struct{} `cbor:",toarray"`
+	Backend   ident.BackendID
+	StartedAt int64 // see backends.Entry
+}
+
 // WorkNote is the total engine time needed by the sender's requests for a model service.
 type WorkNote struct {
 	_       struct{} `cbor:",toarray"`
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -132,6 +132,8 @@
 		r.backends.Put(e.Entry)
 	case EntryRemoved:
 		r.entryRemoved(e.ID)
+	case ServerNoticed:
+		r.serverNoticed(e)
 	case PlatformReadSucceeded:
 		r.platformReadSucceeded(e)
 	case PlatformReadFailed:
@@ -256,6 +258,9 @@
 	for _, d := range r.backends.UnreachableReports(r.now) {
 		m.Unreachable = append(m.Unreachable, UnreachableNote{Backend: d.ID, AgeMS: d.Age.Milliseconds()})
 	}
+	for _, l := range r.backends.LeavingReports(r.now) {
+		m.Leaving = append(m.Leaving, LeavingNote{Backend: l.ID, StartedAt: l.StartedAt})
+	}
 	r.emit(Send{To: to, Message: m})
 }
 
@@ -296,6 +301,7 @@
 	r.backends.SetPeerLoads(from.ID, loads)
 	r.applyUnreachableReports(m.Unreachable)
 	r.parts.Apply(r.now, m.Parts)
+	r.applyLeaving(from.ID, m.Leaving)
 	r.applyPeerRoles(from.ID, restarted, m)
 }
 
--- a/pkg/relayhost/calls.go
+++ b/pkg/relayhost/calls.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
 
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
 	"github.com/mulberrystream/mulberrystream/pkg/boottime"
@@ -62,6 +63,7 @@
 		ended.Crashed = x.hasCrashed(e.To.Addr, err)
 		return ended
 	}
+	x.host.recordNotice(answerOf(resp), x.spec.RequestID, x.spec.RequestID, e.To)
 	ended.Status = resp.StatusCode()
 	ended.Outcome = x.host.dialect.Classify(answerOf(resp), x.spec.RequestID)
 	x.bufferAnswer(resp)
@@ -184,6 +186,7 @@
 		}
 		return "", o
 	}
+	x.host.recordNotice(answerOf(resp), requestID, x.spec.RequestID, a.To)
 	if o := x.host.dialect.ClassifyCall(answerOf(resp), requestID); o != relay.Succeeded {
 		return "", o
 	}
@@ -195,6 +198,20 @@
 	return id, relay.Succeeded
 }
 
+// recordNotice passes what a backend server says of itself in an answer to the relay.
+// carried is the ID that the call carried, and requestID that of the request it was for.
+func (h *Host) recordNotice(a Answer, carried, requestID string, from backends.Target) {
+	n, err := h.dialect.Notice(a, carried)
+	if err != nil {
+		h.metrics.badNotices.Inc()
+		h.log.Warn("relayhost: unreadable notice of a backend server ignored",
+			zap.String("request_id", requestID), zap.String("backend", string(from.ID)), zap.Error(err))
+	}
+	if n != (backends.Notice{}) {
+		h.core.step(relay.ServerNoticed{From: from, RequestID: requestID, Notice: n})
+	}
+}
+
 // backgroundCallTimeout limits calls that no request waits for.
 const backgroundCallTimeout = time.Second
 
@@ -211,6 +228,8 @@
 		err := h.clients.forAddr(to.Addr).Do(ctx, req, resp)
 		if err != nil {
 			h.logCallError(err, "", to)
+		} else {
+			h.recordNotice(answerOf(resp), "", "", to)
 		}
 		done(answerOf(resp), err)
 	}()
--- a/pkg/relayhost/dialect.go
+++ b/pkg/relayhost/dialect.go
@@ -45,6 +45,11 @@
 	// requestID is the ID that the call carried; empty if it carried none.
 	ClassifyCall(a Answer, requestID string) relay.Outcome
 
+	// Notice returns what a backend server says of itself in an answer to a request or call.
+	// requestID is the ID that it carried; empty if none. It fails if a value cannot be read,
+	// and then returns the rest.
+	Notice(a Answer, requestID string) (backends.Notice, error)
+
 	// Reserve writes a call that reserves decode memory.
 	Reserve(req *fasthttp.Request, to ident.BackendID, tokens int64, ttl time.Duration)
 	// ParseReservation reads the answer to Reserve.
--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -19,6 +19,7 @@
 	set           *metrics.Set
 	storeReads    *metrics.Counter
 	storeFailures *metrics.Counter
+	badNotices    *metrics.Counter // of backend servers that could not be read
 	firstEvent    *metrics.Histogram
 	answer        *metrics.Histogram
 }
@@ -29,6 +30,7 @@
 		set:           set,
 		storeReads:    set.NewCounter("mulberrystream_store_reads_total"),
 		storeFailures: set.NewCounter("mulberrystream_store_failures_total"),
+		badNotices:    set.NewCounter("mulberrystream_unreadable_notices_total"),
 		firstEvent:    set.NewHistogram("mulberrystream_first_event_seconds"),
 		answer:        set.NewHistogram("mulberrystream_answer_seconds"),
 	}
--- a/pkg/relayhost/stream.go
+++ b/pkg/relayhost/stream.go
@@ -34,6 +34,7 @@
 	s, err := x.host.clients.forAddr(e.To.Addr).Stream(ctx, x.newRequest(f), e.FirstEvent)
 	if err == nil {
 		defer s.Close()
+		x.host.recordNotice(Answer{Status: s.Status, Header: s.Header}, x.spec.RequestID, x.spec.RequestID, e.To)
 		ended.Status, ended.Framing = s.Status, s.Framing()
 		ended.Outcome, err = x.relayStream(e, s)
 	}
