--- a/pkg/backends/directory.go
+++ b/pkg/backends/directory.go
@@ -22,7 +22,8 @@
 	newReport    bool        // see HasNewReport
 	departed     map[ident.BackendID]departure
 	leaving      map[ident.BackendID]announcement // see AnnounceLeaving
-	withheld     map[ident.BackendID]int64        // start times of the processes withheld after a restore
+	waiting      map[ident.BackendID]waiting
+	withheld     map[ident.BackendID]int64 // start times of the processes withheld after a restore
 	withheldTill time.Time
 }
 
@@ -36,6 +37,7 @@
 	removeAt    time.Time // end of the grace period of a missing entry; zero if listed
 	unconfirmed bool      // missing after a restore of the store, so still in use until removeAt
 	leaving     bool      // announced by the server itself
+	waitUntil   time.Time // it wants nothing from this host until then, see AskForTime
 	unusedUntil time.Time // the entry may be outdated until then, see StoreRestored
 	lastFull    time.Time // last rejection for lack of capacity
 
@@ -58,6 +60,7 @@
 		prefillFits: map[ident.Route]*linearFit{},
 		departed:    map[ident.BackendID]departure{},
 		leaving:     map[ident.BackendID]announcement{},
+		waiting:     map[ident.BackendID]waiting{},
 		rng:         rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
 }
@@ -71,7 +74,7 @@
 	s := d.servers[e.ID]
 	if s == nil || s.Service != e.Service || s.StartedAt != e.StartedAt {
 		d.Remove(e.ID)
-		s = &server{Entry: e, leaving: d.hasAnnounced(e.ID, e.StartedAt)}
+		s = &server{Entry: e, leaving: d.hasAnnounced(e.ID, e.StartedAt), waitUntil: d.waitOf(e.ID, e.StartedAt)}
 		d.servers[e.ID] = s
 		d.index(s)
 		d.recountPeerLoad(s)
--- a/pkg/backends/pick.go
+++ b/pkg/backends/pick.go
@@ -38,7 +38,7 @@
 
 // eligible reports whether a server may get the request, its load aside.
 func (s *server) eligible(now time.Time, q Query) bool {
-	if s.Stage != q.Stage || s.departing() || s.switching(now) || !s.listed(now) || !s.health.usable(now) {
+	if s.Stage != q.Stage || s.departing() || s.switching(now) || !s.listed(now) || !s.health.usable(now) || !s.accepts(now) {
 		return false
 	}
 	if q.Model != "" && len(s.Models) > 0 && !slices.Contains(s.Models, q.Model) {
--- a/pkg/relay/effect.go
+++ b/pkg/relay/effect.go
@@ -23,6 +23,7 @@
 	TooLarge    Reason = "too_large"
 	BackendLost Reason = "backend_lost"
 	OutOfTime   Reason = "out_of_time"
+	AskedToWait Reason = "servers_asked_for_time"
 	BadPart     Reason = "quarantined_part" // of the prompt
 )
 
--- a/pkg/relay/notices.go
+++ b/pkg/relay/notices.go
@@ -1,7 +1,10 @@
 package relay
 
 import (
+	"time"
+
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
+	"github.com/mulberrystream/mulberrystream/pkg/fairqueue"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 )
 
@@ -11,6 +14,48 @@
 	if e.Notice.Leaving && r.backends.AnnounceLeaving(r.now, report, true) {
 		r.log(Decision{Step: "server_leaving", RequestID: e.RequestID, Backend: e.From.ID, Outcome: "gets no new requests"})
 	}
+	if wait := e.Notice.Wait; wait > 0 && r.backends.AskForTime(r.now, e.From.ID, e.From.StartedAt, wait) {
+		r.log(Decision{Step: "server_waits", RequestID: e.RequestID, Backend: e.From.ID, Age: wait, Outcome: "gets nothing for the time it asked for"})
+	}
+}
+
+// refuseUntilAccepting ends a request for which no server is left: at once with the time
+// until the first one wants requests again, if all have asked for time.
+func (r *Relay) refuseUntilAccepting(q *request, otherwise time.Duration) {
+	if wait := r.backends.TimeUntilAccepting(r.now, q.service.Name, answeringStage(q.service)); wait > 0 {
+		r.fail(q, AskedToWait, r.spread(wait))
+		return
+	}
+	r.fail(q, NoBackend, otherwise)
+}
+
+// refuseQueued ends the queued requests of a service if all servers have asked for time.
+func (r *Relay) refuseQueued(service ident.Route, qu *queue) {
+	wait := r.backends.TimeUntilAccepting(r.now, service, backends.Decode)
+	if wait == 0 {
+		return
+	}
+	var all []*request
+	qu.items.Each(func(it fairqueue.Item[ID, *request]) { all = append(all, it.Value) })
+	for _, q := range all {
+		r.fail(q, AskedToWait, r.spread(wait))
+	}
+}
+
+// redirectDecode picks another decode engine for a request whose engine has asked for time
+// or announced that it leaves since it was reserved. It ends the request and returns false
+// if there is none.
+func (r *Relay) redirectDecode(q *request) bool {
+	r.logRequest(q, "redirect", "engine takes no new requests")
+	load := q.load
+	r.releaseDecode(q)
+	to, ok := r.backends.PickDecode(r.now, r.decodeQuery(q))
+	if !ok {
+		r.refuseUntilAccepting(q, retryAfterSoon)
+		return false
+	}
+	r.addLoad(q, to, load)
+	return true
 }
 
 // applyLeaving applies the announcements that another host has heard. The list has them
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -24,7 +24,7 @@
 		return
 	}
 	if !ok {
-		r.fail(q, NoBackend, retryAfterStartup)
+		r.refuseUntilAccepting(q, retryAfterStartup)
 		return
 	}
 	q.phase = calling
@@ -96,7 +96,7 @@
 	case o == Lost || o == Failure:
 		r.fail(q, BackendLost, retryAfterSoon)
 	default:
-		r.fail(q, NoBackend, retryAfterSoon)
+		r.refuseUntilAccepting(q, retryAfterSoon)
 	}
 }
 
--- a/pkg/relay/request.go
+++ b/pkg/relay/request.go
@@ -81,6 +81,19 @@
 // release removes all load of the request and releases its reservation and prefilled
 // KV cache.
 func (r *Relay) release(q *request) {
+	r.releaseDecode(q)
+	r.releasePrefillLoad(q)
+	if q.kvHandle != "" {
+		// A server that has asked for time drops the KV cache by itself.
+		if !r.backends.Waits(r.now, q.prefillTarget.ID) {
+			r.emit(ReleasePrefill{To: q.prefillTarget, Handle: q.kvHandle})
+		}
+		q.kvHandle = ""
+	}
+}
+
+// releaseDecode removes the request's load at its server and releases its reservation.
+func (r *Relay) releaseDecode(q *request) {
 	if q.load != (backends.Load{}) {
 		r.backends.End(q.target.ID, q.load)
 		if qu := r.queues[q.service.Name]; qu != nil && q.load.Memory > 0 {
@@ -88,15 +101,13 @@
 		}
 		q.load = backends.Load{}
 	}
-	r.releasePrefillLoad(q)
 	if q.reservation != "" {
-		r.emit(ReleaseReservation{To: q.target, Hold: q.reservation})
+		// A reservation at a server that has asked for time expires by itself.
+		if !r.backends.Waits(r.now, q.target.ID) {
+			r.emit(ReleaseReservation{To: q.target, Hold: q.reservation})
+		}
 		q.reservation = ""
 	}
-	if q.kvHandle != "" {
-		r.emit(ReleasePrefill{To: q.prefillTarget, Handle: q.kvHandle})
-		q.kvHandle = ""
-	}
 }
 
 func (r *Relay) releasePrefillLoad(q *request) {
--- a/pkg/relay/staged.go
+++ b/pkg/relay/staged.go
@@ -66,6 +66,7 @@
 		r.logRequest(q, "overload", "waited for "+q.waitingFor)
 		r.fail(q, Overloaded, r.overloadRetryAfter(qu))
 	}
+	r.refuseQueued(service, qu)
 	qu.items.Scan(func(it fairqueue.Item[ID, *request]) fairqueue.Decision {
 		if !r.start(it.Value) {
 			return fairqueue.Stop
@@ -101,23 +102,13 @@
 		q.waitingFor = "prefill engine"
 		return false
 	}
-	need := backends.Load{Requests: 1, Memory: q.expectedMemory()}
-	to, ok := r.backends.PickDecode(r.now, backends.Query{
-		Service:         q.service.Name,
-		Stage:           backends.Decode,
-		Model:           q.spec.Model,
-		Exclude:         q.avoid,
-		PreferredDomain: r.cfg.Backends.Domain,
-		Need:            need,
-		MemoryPerServer: e.MemoryTokens,
-		SlotsPerServer:  e.Slots,
-		UnseenRequests:  r.unreportedRequests(q.service.Name),
-	})
+	query := r.decodeQuery(q)
+	to, ok := r.backends.PickDecode(r.now, query)
 	if !ok {
 		q.waitingFor = "decode memory"
 		return false
 	}
-	r.addLoad(q, to, need)
+	r.addLoad(q, to, query.Need)
 	q.attempt++
 	if e.HoldTTL == 0 {
 		r.prefillOrDecode(q)
@@ -130,6 +121,21 @@
 	return true
 }
 
+// decodeQuery describes the decode engine that a request needs.
+func (r *Relay) decodeQuery(q *request) backends.Query {
+	return backends.Query{
+		Service:         q.service.Name,
+		Stage:           backends.Decode,
+		Model:           q.spec.Model,
+		Exclude:         q.avoid,
+		PreferredDomain: r.cfg.Backends.Domain,
+		Need:            backends.Load{Requests: 1, Memory: q.expectedMemory()},
+		MemoryPerServer: q.service.Engine.MemoryTokens,
+		SlotsPerServer:  q.service.Engine.Slots,
+		UnseenRequests:  r.unreportedRequests(q.service.Name),
+	}
+}
+
 func (r *Relay) reserved(e Reserved) {
 	q := r.lookup(e.ID, e.Attempt, reserving)
 	if q == nil {
@@ -141,6 +147,12 @@
 	if e.Outcome == Succeeded {
 		r.backends.Reached(r.now, q.target.ID)
 		q.reservation = e.Hold
+		if !r.backends.Accepts(r.now, q.target) {
+			r.logRequest(q, "reserve", "engine takes no new requests")
+			r.release(q)
+			r.enqueue(q)
+			return
+		}
 		r.prefillOrDecode(q)
 		return
 	}
@@ -222,12 +234,12 @@
 		r.prefillOrDecode(q)
 		return
 	}
-	r.fail(q, NoBackend, retryAfterSoon)
+	r.refuseUntilAccepting(q, retryAfterSoon)
 }
 
 // decode runs a request at the engine that has reserved memory for it.
 func (r *Relay) decode(q *request) {
-	if r.quarantined(q) {
+	if r.quarantined(q) || !r.backends.Accepts(r.now, q.target) && !r.redirectDecode(q) {
 		return
 	}
 	q.phase = decoding
