relaysoak: servers that announce that they leave, and that ask for time

Two faults, and two checks from what servers see: no new request later than two seconds after a host has passed on the announcement, and two requests at most during a time that a server has asked for. Restarts and pauses of the host excuse, as in the users' rules.

--- a/internal/soak/relaysoak/callers.go
+++ b/internal/soak/relaysoak/callers.go
@@ -26,6 +26,7 @@
 // call is one request of a caller and its result.
 type call struct {
 	id, path, key string
+	host          string
 	sent          time.Time
 	duration      time.Duration
 	disconnects   bool // the caller closes its connection early
@@ -75,6 +76,7 @@
 	if c.disconnects {
 		timeout = time.Duration(x.rng.Int64N(int64(300 * time.Millisecond)))
 	}
+	c.host = host.settings.Name
 	x.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
--- a/internal/soak/relaysoak/check.go
+++ b/internal/soak/relaysoak/check.go
@@ -30,6 +30,14 @@
 		x.checkAnswer(c, fail)
 		x.checkRuns(c, runs[c.id], fail)
 	}
+	byID := map[string]*call{}
+	for _, c := range x.calls {
+		byID[c.id] = c
+	}
+	for _, s := range x.d.servers {
+		x.checkLeaving(s, byID, fail)
+		x.checkWaits(s, byID, fail)
+	}
 	return violations
 }
 
--- a/internal/soak/relaysoak/faults.go
+++ b/internal/soak/relaysoak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -38,6 +39,8 @@
 		{"server-loses-answers", serverBehaviour(platformtest.Behaviour{ResetAfterRun: true, CutAfter: 3, Events: 12})},
 		{"server-garbles", serverBehaviour(platformtest.Behaviour{WrongID: true, Events: 12})},
 		{"server-leaves", drainServer},
+		{"server-announces-leaving", announceLeaving},
+		{"server-asks-for-time", serverBehaviour(platformtest.Behaviour{RetryAfter: "1.5", Events: 12})},
 	}
 }
 
@@ -91,20 +94,37 @@
 	}
 }
 
+// disturb records that a host is restarted or paused from now on until the returned
+// function is called.
+func (x *run) disturb(h *process) (end func()) {
+	begin, name := time.Now(), h.settings.Name
+	return func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.disturbed[name] = append(x.disturbed[name], period{begin, time.Now()})
+	}
+}
+
 func killHost(x *run) func() error {
 	return injectAt(x, x.d.hosts, func(h *process) func() error {
+		end := x.disturb(h)
 		h.signal(syscall.SIGKILL)
 		h.wait()
-		return x.restart(h)
+		return func() error {
+			defer end()
+			return x.restart(h)()
+		}
 	})
 }
 
 func stopHost(x *run) func() error {
 	return injectAt(x, x.d.hosts, func(h *process) func() error {
+		end := x.disturb(h)
 		h.signal(syscall.SIGTERM)
 		var wg sync.WaitGroup
 		wg.Go(h.wait)
 		return func() error {
+			defer end()
 			wg.Wait()
 			return x.restart(h)()
 		}
@@ -113,8 +133,10 @@
 
 func pauseHost(x *run) func() error {
 	return injectAt(x, x.d.hosts, func(h *process) func() error {
+		end := x.disturb(h)
 		h.signal(syscall.SIGSTOP)
 		return func() error {
+			defer end()
 			h.signal(syscall.SIGCONT)
 			return nil
 		}
@@ -174,6 +196,9 @@
 
 func silenceServer(x *run) func() error {
 	return injectAt(x, x.d.servers, func(s *server) func() error {
+		s.mu.Lock()
+		s.silenceAt = time.Now()
+		s.mu.Unlock()
 		s.proxy.Silence()
 		return noRepair
 	})
@@ -191,6 +216,27 @@
 	}
 }
 
+// announceLeaving lets a server announce in its answers that it leaves, while the store has
+// it as ready. The repair starts a new process under the same id and address.
+func announceLeaving(x *run) func() error {
+	return injectAt(x, x.d.servers, func(s *server) func() error {
+		all := func(*http.Request) bool { return true }
+		b := platformtest.Behaviour{Events: 12, Gap: 25 * time.Millisecond, Delay: 10 * time.Millisecond}
+		announcing := b
+		announcing.Leaving = all
+		s.SetBehaviour(announcing)
+		return func() error {
+			// Requests count against the rule only after drainBound.
+			time.Sleep(drainBound)
+			s.SetBehaviour(b)
+			s.mu.Lock()
+			s.restarts = append(s.restarts, time.Now())
+			s.mu.Unlock()
+			return x.d.publishServer(s, "ready")
+		}
+	})
+}
+
 func drainServer(x *run) func() error {
 	return injectAt(x, x.d.servers, func(s *server) func() error {
 		if err := x.d.publishServer(s, "draining"); err != nil {
--- a/internal/soak/relaysoak/fleet.go
+++ b/internal/soak/relaysoak/fleet.go
@@ -35,6 +35,10 @@
 	*platformtest.Server
 	zone  string
 	proxy *faultproxy.Proxy
+
+	mu        sync.Mutex
+	restarts  []time.Time // starts of new processes
+	silenceAt time.Time   // when its connections went silent, so that answers are lost
 }
 
 // deployment is a fleet with its store and backend servers.
@@ -113,6 +117,9 @@
 func (d *deployment) publishServer(s *server, state string) error {
 	entry := s.Entry(s.zone, state)
 	entry["address"] = s.proxy.Addr()
+	s.mu.Lock()
+	entry["born"] = 1 + len(s.restarts)
+	s.mu.Unlock()
 	return d.store.Put("servers/"+s.ID, entry)
 }
 
--- /dev/null
+++ b/internal/soak/relaysoak/notices.go
@@ -0,0 +1,92 @@
+package relaysoak
+
+import (
+	"net/http"
+	"time"
+)
+
+// period is a span of time.
+type period struct{ begin, end time.Time }
+
+const (
+	// drainBound is the time within which a host must stop sending new requests to a server
+	// that has announced that it leaves, as in the users' settings.
+	drainBound = 2 * time.Second
+	// waitSlack and waitRequests are the users' bound for a server that has asked for time:
+	// two requests from half a second after its refusal until the end of that time.
+	waitSlack    = 500 * time.Millisecond
+	waitRequests = 2
+)
+
+// excused reports whether a host was restarted or paused in a time.
+func (x *run) excused(host string, begin, end time.Time) bool {
+	for _, p := range x.disturbed[host] {
+		if p.begin.Before(end) && begin.Before(p.end) {
+			return true
+		}
+	}
+	return false
+}
+
+// process returns the number of the server's process at a time.
+func (s *server) process(at time.Time) int {
+	n := 0
+	for _, r := range s.restarts {
+		if r.Before(at) {
+			n++
+		}
+	}
+	return n
+}
+
+// checkLeaving checks that no host sends new requests to a process of a server later than
+// drainBound after it has passed on an answer that announced that the process leaves.
+func (x *run) checkLeaving(s *server, calls map[string]*call, fail func(*call, string, ...any)) {
+	type key struct {
+		host    string
+		process int
+	}
+	told := map[key]time.Time{}
+	for _, a := range s.Arrivals() {
+		c := calls[a.RequestID]
+		if c == nil || c.err != nil || !a.Leaving {
+			continue
+		}
+		k := key{c.host, s.process(a.At)}
+		if at := c.sent.Add(c.duration); told[k].IsZero() || at.Before(told[k]) {
+			told[k] = at
+		}
+	}
+	for _, a := range s.Arrivals() {
+		c := calls[a.RequestID]
+		if c == nil || a.Method == http.MethodDelete {
+			continue
+		}
+		at := told[key{c.host, s.process(a.At)}]
+		if !at.IsZero() && c.sent.Sub(at) > drainBound && !x.excused(c.host, at, a.At) {
+			fail(c, "reached %s %v after %s had passed on that it leaves", s.ID, c.sent.Sub(at), c.host)
+		}
+	}
+}
+
+// checkWaits checks that a server that has asked a host for time gets at most waitRequests
+// from it meanwhile.
+func (x *run) checkWaits(s *server, calls map[string]*call, fail func(*call, string, ...any)) {
+	arrivals := s.Arrivals()
+	for i, refusal := range arrivals {
+		asked := calls[refusal.RequestID]
+		silent := !s.silenceAt.IsZero() && refusal.At.After(s.silenceAt)
+		if asked == nil || refusal.Wait == 0 || silent {
+			continue
+		}
+		n, until := 0, refusal.At.Add(refusal.Wait)
+		for _, a := range arrivals[i+1:] {
+			if c := calls[a.RequestID]; c != nil && c.host == asked.host && a.At.Sub(refusal.At) > waitSlack && a.At.Before(until) {
+				n++
+			}
+		}
+		if n > waitRequests && !x.excused(asked.host, refusal.At, until) {
+			fail(asked, "%d requests reached %s while it had asked %s for %v", n, s.ID, asked.host, refusal.Wait)
+		}
+	}
+}
--- a/internal/soak/relaysoak/run.go
+++ b/internal/soak/relaysoak/run.go
@@ -25,7 +25,9 @@
 	mu       sync.Mutex
 	rng      *rand.Rand
 	targeted map[any]bool
-	log      []string // the faults with their times
+	// disturbed are the times of restarts and pauses by host.
+	disturbed map[string][]period
+	log       []string // the faults with their times
 
 	started time.Time
 	revoked time.Time // when the old key was withdrawn
@@ -45,7 +47,7 @@
 // execute sends load for the given time and injects faults, drawn from only or, if that
 // is empty, from all faults.
 func execute(d *deployment, seed uint64, length time.Duration, only []fault) outcome {
-	x := &run{d: d, seed: seed, rng: rand.New(rand.NewPCG(seed, 8)), targeted: map[any]bool{}, started: time.Now()}
+	x := &run{d: d, seed: seed, rng: rand.New(rand.NewPCG(seed, 8)), targeted: map[any]bool{}, disturbed: map[string][]period{}, started: time.Now()}
 	var wg sync.WaitGroup
 	stop := make(chan struct{})
 	for i := range callers {
