--- a/pkg/relay/aggregators.go
+++ b/pkg/relay/aggregators.go
@@ -121,13 +121,19 @@
 		return
 	}
 	r.aggregators.relayedAt = r.now
+	r.sendToAll(Message{Relayed: uses})
+}
+
+// sendToAll sends a message that is no heartbeat to all live hosts.
+func (r *Relay) sendToAll(m Message) {
+	m.Heartbeat = roster.Heartbeat{From: r.cfg.Roster.Self}
 	var to []string
 	for _, h := range r.roster.Alive(r.now) {
 		to = append(to, h.Addr)
 	}
-	r.emit(Send{To: to, Message: Message{Heartbeat: roster.Heartbeat{From: self}, Relayed: uses}})
+	r.emit(Send{To: to, Message: m})
 }
 
-// isRelay reports whether a message is one of relayReports or sendPartNotes and no
-// heartbeat, whose sequence starts at 1.
-func (m *Message) isRelay() bool { return m.Heartbeat.Sequence == 0 }
+// isHeartbeat reports whether a message is a heartbeat, whose sequence starts at 1, and not
+// one of sendToAll.
+func (m *Message) isHeartbeat() bool { return m.Heartbeat.Sequence > 0 }
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -97,11 +97,10 @@
 	ID      ID
 	Attempt int
 	Outcome Outcome
-	Status  int  // of the backend server; 0 without an answer
-	Started bool // part of the answer has been sent to the caller
-	Events  int  // stream events relayed by this call
-	// Crashed reports that the process of the backend server ended when it began the answer.
-	Crashed bool
+	Status  int    // of the backend server; 0 without an answer
+	Started bool   // part of the answer has been sent to the caller
+	Events  int    // stream events relayed by this call
+	Crashed bool   // the process of the backend server ended when it began the answer
 	Framing string // what delimits the body of a stream, for the log
 	Took    time.Duration
 }
--- a/pkg/relay/parts.go
+++ b/pkg/relay/parts.go
@@ -6,7 +6,6 @@
 
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 	"github.com/mulberrystream/mulberrystream/pkg/quarantine"
-	"github.com/mulberrystream/mulberrystream/pkg/roster"
 )
 
 const (
@@ -15,9 +14,6 @@
 	maxCrashes = 2
 	// partNotesInterval is the minimum time between two messages of sendPartNotes.
 	partNotesInterval = 100 * time.Millisecond
-	// retryAfterSpread is the fraction by which the Retry-After of refused requests is
-	// extended at random, so that they do not all return at the same time.
-	retryAfterSpread = 0.25
 )
 
 // checkParts decides whether a new request may run in view of the parts of its prompt.
@@ -30,12 +26,6 @@
 	return 0, true
 }
 
-// spread extends a Retry-After by a random part.
-func (r *Relay) spread(wait time.Duration) time.Duration {
-	wait = max(wait, minOverloadRetryAfter)
-	return wait + time.Duration(r.rng.Float64()*retryAfterSpread*float64(wait))
-}
-
 // probeTurn returns the position of this host in the order in which hosts probe a part.
 func (r *Relay) probeTurn(p ident.PromptPart) int {
 	ids := []ident.HostID{r.cfg.Roster.Self.ID}
@@ -91,12 +81,8 @@
 		return
 	}
 	r.partNotesAt = r.now
-	var to []string
-	for _, h := range r.roster.Alive(r.now) {
-		to = append(to, h.Addr)
-	}
 	r.parts.MarkSent()
-	r.emit(Send{To: to, Message: Message{Heartbeat: roster.Heartbeat{From: r.cfg.Roster.Self}, Parts: r.parts.Notes(r.now)}})
+	r.sendToAll(Message{Parts: r.parts.Notes(r.now)})
 }
 
 // logPartChanges logs the changes of quarantined parts.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -265,7 +265,7 @@
 }
 
 func (r *Relay) messageReceived(m Message) {
-	if m.isRelay() {
+	if !m.isHeartbeat() {
 		r.quota.ApplyRelayed(r.now, m.Relayed)
 		r.parts.Apply(r.now, m.Parts)
 		return
--- a/pkg/relay/request.go
+++ b/pkg/relay/request.go
@@ -149,6 +149,16 @@
 	r.finish(q)
 }
 
+// retryAfterSpread is the fraction by which the Retry-After of requests that are refused
+// for one reason is extended at random, so that they do not return at the same time.
+const retryAfterSpread = 0.25
+
+// spread extends a Retry-After by a random part.
+func (r *Relay) spread(wait time.Duration) time.Duration {
+	wait = max(wait, minOverloadRetryAfter)
+	return wait + time.Duration(r.rng.Float64()*retryAfterSpread*float64(wait))
+}
+
 // callerLeft ends a request whose caller has disconnected.
 func (r *Relay) callerLeft(id ID) {
 	q := r.requests[id]
