--- a/pkg/quarantine/suspect.go
+++ b/pkg/quarantine/suspect.go
@@ -61,15 +61,15 @@
 
 // Verdict is the decision on a request.
 type Verdict struct {
-	Blocked ident.PromptPart // the quarantined part; empty if the request may run
-	Wait    time.Duration    // until a request with the part may run
-	Probes  ident.PromptPart // the part that the request probes, if any; see ProbeCrashed
+	Blocked ident.PromptPart   // the quarantined part; empty if the request may run
+	Wait    time.Duration      // until a request with the part may run
+	Probes  []ident.PromptPart // quarantined parts that the request probes; see ProbeCrashed
 }
 
 // Check decides whether a request with the given parts may run. turn returns the position
 // of this host in the order in which the hosts may probe a part.
 func (t *Tracker) Check(now time.Time, parts []ident.PromptPart, turn func(ident.PromptPart) int) Verdict {
-	probe := ident.PromptPart("")
+	var probes []ident.PromptPart
 	for _, p := range parts {
 		s := t.suspects[p]
 		if s == nil {
@@ -82,28 +82,24 @@
 		if wait := s.until.Add(time.Duration(turn(p)) * t.cfg.ProbeTurn).Sub(now); wait > 0 {
 			return Verdict{Blocked: p, Wait: wait}
 		}
-		if probe != "" {
-			// One at a time, or a crash would not tell which part is harmful.
-			return Verdict{Blocked: p, Wait: t.cfg.ProbeTimeout}
-		}
-		probe = p
+		probes = append(probes, p)
 	}
-	if probe != "" {
-		t.suspects[probe].until = now.Add(t.cfg.ProbeTimeout)
+	for _, p := range probes {
+		t.suspects[p].until = now.Add(t.cfg.ProbeTimeout)
 		t.unsent = true
-		t.changes = append(t.changes, Change{Part: probe, Kind: Probed})
+		t.changes = append(t.changes, Change{Part: p, Kind: Probed})
 	}
-	return Verdict{Probes: probe}
+	return Verdict{Probes: probes}
 }
 
 // Blocks returns the quarantined part of a request that has been checked before, or "".
-// probes is the part that the request probes.
-func (t *Tracker) Blocks(parts []ident.PromptPart, probes ident.PromptPart) ident.PromptPart {
+// probes are the parts that the request probes.
+func (t *Tracker) Blocks(parts, probes []ident.PromptPart) ident.PromptPart {
 	if len(t.suspects) == 0 {
 		return ""
 	}
 	for _, p := range parts {
-		if p != probes && t.suspects[p] != nil {
+		if t.suspects[p] != nil && !slices.Contains(probes, p) {
 			return p
 		}
 	}
@@ -118,17 +114,19 @@
 	return 0
 }
 
-// ProbeCrashed records that the probe of a part crashed a server. A completed probe clears
-// the part, and one that ended in another way has shown nothing.
-func (t *Tracker) ProbeCrashed(now time.Time, p ident.PromptPart) {
-	s := t.suspects[p]
-	if s == nil {
-		return
+// ProbeCrashed records that the probe of parts crashed a server. A completed probe clears
+// them, and one that ended in another way has shown nothing.
+func (t *Tracker) ProbeCrashed(now time.Time, probes []ident.PromptPart) {
+	for _, p := range probes {
+		s := t.suspects[p]
+		if s == nil {
+			continue
+		}
+		s.probes++
+		s.since = now
+		s.until = now.Add(t.probeAfter(s.probes))
+		t.unsent = true
 	}
-	s.probes++
-	s.since = now
-	s.until = now.Add(t.probeAfter(s.probes))
-	t.unsent = true
 }
 
 func (t *Tracker) probeAfter(probes int) time.Duration {
--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -214,12 +214,25 @@
 		h := quarantined()
 		h.wait(31 * time.Second)
 		Expect(h.check(1, "p").Blocked).NotTo(BeEmpty(), "the first host has its turn")
-		Expect(h.check(0, "p").Probes).To(Equal(ident.PromptPart("p")))
+		Expect(h.check(0, "p").Probes).To(ConsistOf(ident.PromptPart("p")))
 		Expect(h.check(0, "p").Blocked).NotTo(BeEmpty(), "a probe is running")
 		h.wait(7 * time.Second)
 		Expect(h.check(1, "p").Probes).NotTo(BeEmpty(), "the probe has shown nothing")
 	})
 
+	It("is probed together with another one if every request has both", func() {
+		h := quarantined()
+		for i := range 3 {
+			h.crash(fmt.Sprint("t", i), "p2")
+		}
+		h.wait(40 * time.Second)
+		v := h.check(0, "p", "p2")
+		Expect(v.Probes).To(ConsistOf(ident.PromptPart("p"), ident.PromptPart("p2")))
+		Expect(h.Blocks([]ident.PromptPart{"p", "p2"}, v.Probes)).To(BeEmpty())
+		h.complete("p", "p2")
+		Expect(h.Suspects()).To(BeEmpty())
+	})
+
 	It("is free once a probe has been completed", func() {
 		h := quarantined()
 		h.wait(31 * time.Second)
@@ -238,7 +251,7 @@
 			h.wait(wait)
 			Expect(h.check(0, "p").Probes).NotTo(BeEmpty())
 			h.Crashed(h.now, "s9", []ident.PromptPart{"p"})
-			h.ProbeCrashed(h.now, "p")
+			h.ProbeCrashed(h.now, []ident.PromptPart{"p"})
 		}
 	})
 
--- a/pkg/relay/parts.go
+++ b/pkg/relay/parts.go
@@ -65,10 +65,8 @@
 		q.crashes++
 		r.logRequest(q, "server_crashed", "when it began the answer")
 		r.parts.Crashed(r.now, q.target.ID, q.spec.SharedParts)
-		if q.probes != "" {
-			r.parts.ProbeCrashed(r.now, q.probes)
-			q.probes = ""
-		}
+		r.parts.ProbeCrashed(r.now, q.probes)
+		q.probes = nil
 	case e.Outcome == Succeeded:
 		r.parts.Completed(r.now, q.spec.SharedParts)
 	}
--- a/pkg/relay/request.go
+++ b/pkg/relay/request.go
@@ -37,10 +37,10 @@
 	runs       int // calls after which a backend server may have run it
 	retries    int // retries taken from the budget
 	avoid      []ident.BackendID
-	started    bool             // part of the answer has been sent to the caller
-	mayHaveRun bool             // a backend server may have run it
-	crashes    int              // backend servers that crashed when they began to answer it
-	probes     ident.PromptPart // quarantined part that it probes, if any
+	started    bool               // part of the answer has been sent to the caller
+	mayHaveRun bool               // a backend server may have run it
+	crashes    int                // backend servers that crashed when they began to answer it
+	probes     []ident.PromptPart // quarantined parts that it probes
 
 	target         backends.Target // plain backend server or decode engine
 	load           backends.Load   // counted at target
