--- a/pkg/sendonce/stream.go
+++ b/pkg/sendonce/stream.go
@@ -69,7 +69,10 @@
 
 // EndsWithConnection reports whether the body has no length and ends when the peer closes
 // the connection, so that a body that was cut off looks like a complete one.
-func (s *Stream) EndsWithConnection() bool { return s.resp.Header.ContentLength() < -1 }
+func (s *Stream) EndsWithConnection() bool { return s.Framing() == framedByClose }
+
+// framedByClose is the framing of a body that ends with the connection.
+const framedByClose = "close"
 
 // Framing says what delimits the body: "length", "chunks" or "close", the end of the
 // connection.
@@ -80,7 +83,7 @@
 	case n == -1:
 		return "chunks"
 	}
-	return "close"
+	return framedByClose
 }
 
 // Headers returns all response headers.
