--- a/pkg/sendonce/client.go
+++ b/pkg/sendonce/client.go
@@ -40,6 +40,8 @@
 	// for that long, for example in a network partition. By default the kernel
 	// decides, which takes minutes.
 	UnackedTimeout time.Duration
+	// EchoHeader names the request header whose value peers repeat in their answers.
+	EchoHeader string
 }
 
 func (o Options) withDefaults() Options {
