sendonce: assign responses to calls by the state of the connection

Cause: a response was taken for that to the call that waited for it, unless it had the id of another request. A response without an id therefore passed for any, and calls without an id (reservations, releases, orders) took any such response. Callers got 503 for requests that ran, requests used the reservation of another, and an answer was lost (502) if a late one came before it.

Change: with Options.EchoHeader a connection remembers the ids that it has carried, at most 256, then it is retired. - A response is that to the call if it has its id, or has none and the connection has carried nothing else. - A response of an earlier call of the connection is skipped, within the limits of bytes and time of the call. - Any other fails the call (ErrUnrelated, outcome Lost) and closes the connection. - A call without an id gets a new connection, so the only response without an id that can come on it is its own. Calls with an id may use that connection later; a response without an id is skipped then. - HEAD neither uses nor leaves a kept connection, since a late response would be framed wrongly. It works because peers answer the calls of a connection in order and can only repeat what they have answered on it. The dialect names the header; Classify and ClassifyCall get only answers that belong to the call, and no longer an id. The entry "another request's answer" of the Classify table is now kept by the sendonce spec "that no call on the connection explains", and by the platform spec "answers with another request's ID". The store's client leaves EchoHeader unset.

--- a/pkg/relayhost/calls.go
+++ b/pkg/relayhost/calls.go
@@ -67,7 +67,7 @@
 	}
 	x.host.recordNotice(answerOf(resp), begin, x.spec.RequestID, x.spec.RequestID, e.To)
 	ended.Status = resp.StatusCode()
-	ended.Outcome = x.host.dialect.Classify(answerOf(resp), x.spec.RequestID)
+	ended.Outcome = x.host.dialect.Classify(answerOf(resp))
 	x.bufferAnswer(resp)
 	return ended
 }
@@ -207,7 +207,7 @@
 		return "", o
 	}
 	x.host.recordNotice(answerOf(resp), begin, requestID, x.spec.RequestID, a.To)
-	if o := x.host.dialect.ClassifyCall(answerOf(resp), requestID); o != relay.Succeeded {
+	if o := x.host.dialect.ClassifyCall(answerOf(resp)); o != relay.Succeeded {
 		return "", o
 	}
 	id, err := parse(resp.Body())
--- a/pkg/relayhost/clients.go
+++ b/pkg/relayhost/clients.go
@@ -25,9 +25,10 @@
 
 // clientOptions limits the connections to backend servers: an unreachable server is
 // detected within half a second, and idle connections are closed before servers
-// usually close them.
-func clientOptions() sendonce.Options {
+// usually close them. Servers repeat the values of echoHeader.
+func clientOptions(echoHeader string) sendonce.Options {
 	return sendonce.Options{
+		EchoHeader:     echoHeader,
 		DialTimeout:    500 * time.Millisecond,
 		IdleTimeout:    8 * time.Second,
 		MaxIdle:        16,
@@ -44,8 +45,9 @@
 const answerMemoryShare = 1.0 / 8
 
 // newClients returns clients for a process with a memory limit in bytes, or none if it is 0.
-func newClients(memoryLimit int64) *clients {
-	o := clientOptions()
+// Servers repeat the values of echoHeader.
+func newClients(memoryLimit int64, echoHeader string) *clients {
+	o := clientOptions(echoHeader)
 	if memoryLimit > 0 {
 		o.Budget = sendonce.NewBudget(int64(float64(memoryLimit) * answerMemoryShare))
 	}
--- a/pkg/relayhost/dialect.go
+++ b/pkg/relayhost/dialect.go
@@ -35,16 +35,18 @@
 // Dialect translates between the relay and the HTTP headers and calls that callers and
 // backend servers use.
 type Dialect interface {
+	// EchoHeader names the header of requests whose value backend servers repeat in their
+	// answers. Answers to other requests are not passed on.
+	EchoHeader() string
 	// ParseRequest reads the request parameters that the relay needs from a caller's request.
 	ParseRequest(r *http.Request) relay.RequestSpec
 	// Forward writes the headers of a caller's request that goes to a backend server.
 	Forward(dst *fasthttp.RequestHeader, src http.Header, f Forward)
 	// Classify returns the outcome of the answer to a caller's request, either of a
 	// complete answer or of the header of a stream.
-	Classify(a Answer, requestID string) relay.Outcome
+	Classify(a Answer) relay.Outcome
 	// ClassifyCall returns the outcome of the answer to one of the router's own calls.
-	// requestID is the ID that the call carried; empty if it carried none.
-	ClassifyCall(a Answer, requestID string) relay.Outcome
+	ClassifyCall(a Answer) relay.Outcome
 
 	// Notice returns what a backend server says of itself in an answer to a request or call.
 	// requestID is the ID that it carried; empty if none. It fails if a value cannot be read,
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -80,7 +80,7 @@
 		log:        newLogger(os.Stdout, cfg.LogLevel, string(cfg.Relay.Roster.Self.ID)),
 		dialect:    cfg.Dialect,
 		decoder:    cfg.Decoder,
-		clients:    newClients(cfg.MemoryBytes),
+		clients:    newClients(cfg.MemoryBytes, cfg.Dialect.EchoHeader()),
 		metrics:    newHostMetrics(),
 		bodyBudget: newBodyBudget(cfg.MemoryBytes),
 		seeds:      cfg.Relay.Roster.Seeds,
@@ -325,7 +325,7 @@
 		h.dialect.RoleOrder(req, e.To.ID, e.Stage, h.cfg.Relay.Roster.Self.ID, e.FencingToken)
 	}
 	h.callInBackground(e.To, write, func(a Answer, err error) {
-		ok := err == nil && h.dialect.ClassifyCall(a, "") == relay.Succeeded
+		ok := err == nil && h.dialect.ClassifyCall(a) == relay.Succeeded
 		h.core.step(relay.RoleOrderAnswered{Backend: e.To.ID, OK: ok, Status: a.Status})
 	})
 }
--- a/pkg/relayhost/stream.go
+++ b/pkg/relayhost/stream.go
@@ -55,7 +55,7 @@
 // relayStream relays a stream whose header has been received. It returns an error only
 // if reading from the engine fails.
 func (x *exchange) relayStream(e relay.Decode, s *sendonce.Stream) (relay.Outcome, error) {
-	o := x.host.dialect.Classify(answerOfStream(s), x.spec.RequestID)
+	o := x.host.dialect.Classify(answerOfStream(s))
 	if o != relay.Succeeded {
 		return o, x.bufferStream(s)
 	}
--- a/pkg/sendonce/client.go
+++ b/pkg/sendonce/client.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -40,7 +42,12 @@
 	// for that long, for example in a network partition. By default the kernel
 	// decides, which takes minutes.
 	UnackedTimeout time.Duration
-	// EchoHeader names the request header whose value peers repeat in their answers.
+	// EchoHeader names the request header whose value, the ID of the call, peers repeat in
+	// their responses. With it, a response that a peer sends a second time later does not
+	// pass for that to another call: it is skipped if its ID, or the lack of one, is that of
+	// an earlier call on the connection. A call without an ID needs a new connection.
+	// By default connections are reused for all calls, which is for peers that never
+	// send a response twice.
 	EchoHeader string
 }
 
@@ -123,14 +130,15 @@
 
 // Do sends req at most once and reads the complete response. It is aborted when ctx ends.
 func (c *Client) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
-	cn, err := c.acquire(ctx)
+	id := c.callID(req)
+	cn, err := c.acquire(ctx, c.needsNewConn(req, id))
 	if err != nil {
 		return c.wrapError(ctx, "connect", nil, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.nc.Close() })
 	cn.expect(time.Time{}, framingFactor*c.opt.MaxBody+c.opt.BufferSize)
 	cn.account = c.opt.Budget.newAccount()
-	step, err := c.roundTrip(cn, req, resp)
+	step, err := c.roundTrip(cn, id, req, resp)
 	cn.account.close()
 	cn.account = nil
 	if !stop() && err == nil {
@@ -142,10 +150,34 @@
 		c.drop(cn)
 		return c.wrapError(ctx, step, cn, err)
 	}
-	c.release(cn, req.ConnectionClose() || resp.ConnectionClose())
+	c.release(cn, c.isLastUse(cn, req, resp))
 	return nil
 }
 
+// isLastUse reports whether a connection must not be used for another call.
+func (c *Client) isLastUse(cn *conn, req *fasthttp.Request, resp *fasthttp.Response) bool {
+	if req.ConnectionClose() || resp.ConnectionClose() {
+		return true
+	}
+	// A second response to HEAD would be read as if it had a body.
+	return c.opt.EchoHeader != "" && (req.Header.IsHead() || cn.history.calls() >= maxCallsPerConn)
+}
+
+// callID returns the ID of a call, or none if the peer does not repeat IDs.
+func (c *Client) callID(req *fasthttp.Request) string {
+	if c.opt.EchoHeader == "" {
+		return ""
+	}
+	return string(req.Header.Peek(c.opt.EchoHeader))
+}
+
+// needsNewConn reports whether only a connection without earlier calls shows which response
+// belongs to the call. HEAD does: a second response to another method would be read as if it
+// had no body.
+func (c *Client) needsNewConn(req *fasthttp.Request, id string) bool {
+	return c.opt.EchoHeader != "" && (id == "" || req.Header.IsHead())
+}
+
 // framingFactor is how many times longer than its body a response may be with its chunk
 // headers.
 const framingFactor = 2
@@ -153,13 +185,16 @@
 // writerPool holds write buffers, which are only needed while a request is written.
 var writerPool = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, 4<<10) }}
 
-// roundTrip writes the request and reads the response. On an error it also returns the
-// step that failed.
-func (c *Client) roundTrip(cn *conn, req *fasthttp.Request, resp *fasthttp.Response) (string, error) {
+// roundTrip writes the request, which has the given ID, and reads the response. On an error
+// it also returns the step that failed.
+func (c *Client) roundTrip(cn *conn, id string, req *fasthttp.Request, resp *fasthttp.Response) (string, error) {
 	bw := writerPool.Get().(*bufio.Writer)
 	defer writerPool.Put(bw)
 	bw.Reset(cn)
 	defer bw.Reset(nil)
+	if c.opt.EchoHeader != "" {
+		cn.history.add(id)
+	}
 	if err := req.Write(bw); err != nil {
 		return "send", err
 	}
@@ -167,12 +202,46 @@
 		return "send", err
 	}
 	resp.SkipBody = req.Header.IsHead()
-	if err := resp.ReadLimitBody(cn.br, c.opt.MaxBody); err != nil {
+	if err := c.readResponse(cn, id, resp); err != nil {
 		return "receive", err
 	}
 	return "", nil
 }
 
+// readResponse reads the response to the last call on a connection, which has the given ID.
+// It skips late second responses to earlier calls.
+func (c *Client) readResponse(cn *conn, id string, resp *fasthttp.Response) error {
+	for {
+		if err := resp.ReadLimitBody(cn.br, c.opt.MaxBody); err != nil {
+			return err
+		}
+		if c.opt.EchoHeader == "" {
+			return nil
+		}
+		switch cn.history.origin(id, string(resp.Header.Peek(c.opt.EchoHeader))) {
+		case ofCall:
+			return nil
+		case ofNone:
+			return ErrUnrelated
+		}
+		if err := discardBody(resp); err != nil {
+			return err
+		}
+	}
+}
+
+// discardBody reads the rest of a body that is streamed.
+func discardBody(resp *fasthttp.Response) error {
+	body := resp.BodyStream()
+	if body == nil {
+		return nil
+	}
+	if _, err := io.Copy(io.Discard, body); err != nil {
+		return err
+	}
+	return resp.CloseBodyStream()
+}
+
 func (c *Client) wrapError(ctx context.Context, step string, cn *conn, err error) error {
 	if ctx.Err() != nil {
 		err = context.Cause(ctx)
@@ -185,13 +254,14 @@
 	}
 }
 
-// acquire returns an idle connection that is still open, or dials a new one.
-func (c *Client) acquire(ctx context.Context) (*conn, error) {
+// acquire returns an idle connection that is still open, unless needsNew is set, or dials
+// a new one.
+func (c *Client) acquire(ctx context.Context, needsNew bool) (*conn, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
 	for {
-		cn, err := c.takeIdle()
+		cn, err := c.takeIdle(needsNew)
 		if err != nil {
 			return nil, err
 		}
@@ -206,23 +276,29 @@
 	}
 }
 
-// takeIdle returns the most recently used idle connection. If there is none, it counts
-// a new connection as open and returns nil.
-func (c *Client) takeIdle() (*conn, error) {
+// takeIdle returns the most recently used idle connection. If there is none, or needsNew is
+// set, it counts a new connection as open and returns nil.
+func (c *Client) takeIdle(needsNew bool) (*conn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return nil, ErrClosed
 	}
-	if n := len(c.idle); n > 0 {
+	if n := len(c.idle); n > 0 && !needsNew {
 		cn := c.idle[n-1]
 		c.idle = c.idle[:n-1]
 		return cn, nil
 	}
-	if c.open >= c.opt.MaxConns {
+	if c.open < c.opt.MaxConns {
+		c.open++
+		return nil, nil
+	}
+	if len(c.idle) == 0 {
 		return nil, ErrTooManyConns
 	}
-	c.open++
+	// The new connection takes the place of the least recently used idle one.
+	_ = c.idle[0].nc.Close()
+	c.idle = slices.Delete(c.idle, 0, 1)
 	return nil, nil
 }
 
--- a/pkg/sendonce/conn.go
+++ b/pkg/sendonce/conn.go
@@ -17,6 +17,7 @@
 	bytesLeft int      // that may still be read, see expect
 	account   *account // of the current response; nil if it is streamed
 	idleSince time.Time
+	history   history // only with Options.EchoHeader
 }
 
 func newConn(nc net.Conn, bufferSize int) *conn {
--- a/pkg/sendonce/late_test.go
+++ b/pkg/sendonce/late_test.go
@@ -107,7 +107,7 @@
 	return req
 }
 
-const callTimeout = 5 * time.Second
+const callTimeout = 2 * time.Second
 
 func do(c *sendonce.Client, id string) (int, string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
@@ -198,7 +198,7 @@
 			_, _, err := call(c, "first")
 			Expect(err).NotTo(HaveOccurred())
 			_, _, err = call(c, "second")
-			Expect(err).To(HaveOccurred())
+			Expect(err).To(MatchError(sendonce.ErrUnrelated))
 			Expect(sent(err)).To(BeTrue())
 			Expect(c.Open()).To(BeZero())
 		},
--- a/pkg/sendonce/stream.go
+++ b/pkg/sendonce/stream.go
@@ -28,7 +28,8 @@
 // if that takes longer than progressTimeout, unless that is 0; see Progress for the body.
 // The stream is aborted when ctx ends, and it takes ownership of req.
 func (c *Client) Stream(ctx context.Context, req *fasthttp.Request, progressTimeout time.Duration) (*Stream, error) {
-	cn, err := c.acquire(ctx)
+	id := c.callID(req)
+	cn, err := c.acquire(ctx, c.needsNewConn(req, id))
 	if err != nil {
 		fasthttp.ReleaseRequest(req)
 		return nil, c.wrapError(ctx, "connect", nil, err)
@@ -38,7 +39,7 @@
 	s := &Stream{client: c, cn: cn, ctx: ctx, req: req, resp: resp}
 	s.stop = context.AfterFunc(ctx, func() { _ = cn.nc.Close() })
 	s.Progress(progressTimeout, maxUnread)
-	step, err := c.roundTrip(cn, req, resp)
+	step, err := c.roundTrip(cn, id, req, resp)
 	if err != nil {
 		s.Close()
 		return nil, c.wrapError(ctx, step, cn, err)
@@ -134,7 +135,7 @@
 
 func (s *Stream) close() {
 	alive := s.stop()
-	last := s.req.ConnectionClose() || s.resp.ConnectionClose()
+	last := s.client.isLastUse(s.cn, s.req, s.resp)
 	if !s.complete || !alive {
 		_ = s.cn.nc.Close()
 		last = true
