relay, relayhost: a KV cache handle is valid for the process that gave it, and until it expires

Cause: a handle was kept as an address and a name. A prefill engine that starts again under its id and address numbers its handles anew, so a handle whose answer arrives late, as across a cut, names the KV cache of another request; engines do not check whose handle it is. Nothing bounded the time between the answer and the decode either: a dial takes up to 500 ms, as long as a KV cache lives on the users' sites, and a suspended host much longer. The release of such a handle freed the KV cache of another request.

Change: a handle holds the process (id and start time) and the address that gave it and its expiry (kv_ttl_s, counted from when the answer was read, or from the deadline of the prefill call if it was read later). Before it is put into a decode or released, and again when the connection is there and nothing has been sent (sendonce.WithCheck), the list must still show that process at that address, no other entry may have got the address since the engine was picked, and the handle must not have expired. Otherwise the decode engine that holds the reservation does the prefill itself: another prefill call would count against the retry budget and would have to queue again, while the reservation expires. A prefill answer that states another number of tokens than the request is not that of the request (Lost). The version in the answer is that of the weights and is not compared: no other value of the request states one.

--- a/pkg/backends/directory.go
+++ b/pkg/backends/directory.go
@@ -16,6 +16,8 @@
 	cfg          Config
 	servers      map[ident.BackendID]*server
 	byService    map[ident.Route][]*server // sorted by id
+	byAddr       map[string][]*server
+	changes      uint64 // number of changes of addresses
 	peerLoads    map[ident.HostID]map[ident.BackendID]Load
 	prefillFits  map[ident.Route]*linearFit // prefill time as a function of tokens
 	rng          *rand.Rand
@@ -31,6 +33,7 @@
 
 type server struct {
 	Entry
+	addrChange uint64 // number of the change that gave it its address
 	ownLoad    Load
 	peerLoad   Load
 	health     health
@@ -62,6 +65,7 @@
 		limits:      cfg.Limits,
 		servers:     map[ident.BackendID]*server{},
 		byService:   map[ident.Route][]*server{},
+		byAddr:      map[string][]*server{},
 		peerLoads:   map[ident.HostID]map[ident.BackendID]Load{},
 		prefillFits: map[ident.Route]*linearFit{},
 		departed:    map[ident.BackendID]departure{},
@@ -83,12 +87,16 @@
 		s = &server{Entry: e, leaving: d.hasAnnounced(e.ID, e.StartedAt), waitUntil: d.waitOf(e.ID, e.StartedAt)}
 		d.servers[e.ID] = s
 		d.index(s)
+		d.setAddr(s, e.Addr)
 		d.recountPeerLoad(s)
 		return
 	}
 	if s.Addr != e.Addr || s.Stage != e.Stage {
 		s.health = health{}
 	}
+	if s.Addr != e.Addr {
+		d.setAddr(s, e.Addr)
+	}
 	s.Entry = e
 	s.removeAt, s.unconfirmed, s.unusedUntil = time.Time{}, false, time.Time{}
 }
@@ -108,6 +116,7 @@
 		return
 	}
 	delete(d.servers, id)
+	d.clearAddr(s)
 	d.byService[s.Service] = slices.DeleteFunc(d.byService[s.Service], func(o *server) bool { return o == s })
 }
 
@@ -274,6 +283,6 @@
 	return l
 }
 
-func (s *server) target() Target {
-	return Target{ID: s.ID, Addr: s.Addr, Domain: s.Domain, StartedAt: s.StartedAt}
+func (d *Directory) target(s *server) Target {
+	return Target{ID: s.ID, Addr: s.Addr, Domain: s.Domain, StartedAt: s.StartedAt, pickedAt: d.changes}
 }
--- a/pkg/backends/pick.go
+++ b/pkg/backends/pick.go
@@ -166,7 +166,7 @@
 	if c.health.backoff > 0 {
 		c.health.probeUntil = now.Add(d.cfg.ProbeTimeout)
 	}
-	return c.target(), true
+	return d.target(c.server), true
 }
 
 // PickSwitch returns the server that should change its stage: the one with the fewest
--- a/pkg/backends/types.go
+++ b/pkg/backends/types.go
@@ -39,6 +39,8 @@
 	Addr      string
 	Domain    ident.FailureDomain
 	StartedAt int64 // see Entry
+
+	pickedAt uint64 // number of the last change of an address when it was picked
 }
 
 // Process returns the process that was picked.
--- a/pkg/catalog/types.go
+++ b/pkg/catalog/types.go
@@ -55,6 +55,7 @@
 	MemoryTokens   int64         // KV cache in tokens
 	RoleSwitch     time.Duration // time that a change of role takes
 	HoldTTL        time.Duration // longest time a reservation is held; 0 if the engine takes none
+	HandleTTL      time.Duration // how long a prefilled KV cache is kept; 0 if not stated
 	TokensPerEvent int           // tokens in one event of a stream
 }
 
--- a/pkg/relay/effect.go
+++ b/pkg/relay/effect.go
@@ -82,7 +82,8 @@
 	Hold         string
 	Source       *backends.Target // prefill engine; nil if the decode engine does the prefill itself
 	Handle       string
-	Resume       bool // continue after the last event relayed
+	HandleExpiry time.Time // see KVHandle
+	Resume       bool      // continue after the last event relayed
 	// FirstEvent and NextEvent are the longest waits for a complete event, the first one
 	// and each later one; 0 for no bound.
 	FirstEvent time.Duration
@@ -99,6 +100,7 @@
 type ReleasePrefill struct {
 	To     backends.Target
 	Handle string
+	Expiry time.Time // see KVHandle
 }
 
 // Send sends a message to the hosts at the addresses in To.
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -85,6 +85,7 @@
 	Attempt int
 	Outcome Outcome
 	Handle  string
+	Tokens  int64 // of the prompt that was prefilled; 0 if not stated
 	Took    time.Duration
 }
 
@@ -99,12 +100,15 @@
 	ID      ID
 	Attempt int
 	Outcome Outcome
-	Status  int    // of the backend server; 0 without an answer
-	Started bool   // part of the answer has been sent to the caller
-	Events  int    // stream events relayed by this call
-	Crashed bool   // the process of the backend server ended when it began the answer
-	Framing string // what delimits the body of a stream, for the log
-	Took    time.Duration
+	Status  int  // of the backend server; 0 without an answer
+	Started bool // part of the answer has been sent to the caller
+	Events  int  // stream events relayed by this call
+	Crashed bool // the process of the backend server ended when it began the answer
+	// HandleInvalid is set if the call was not sent because its KV cache handle had become
+	// invalid.
+	HandleInvalid bool
+	Framing       string // what delimits the body of a stream, for the log
+	Took          time.Duration
 }
 
 // CrashNoticed reports that the process of a backend server has ended some time after it had
--- a/pkg/relay/handles_test.go
+++ b/pkg/relay/handles_test.go
@@ -105,3 +105,100 @@
 		Expect(expect[relay.Decode](h).Handle).To(Equal("kv"))
 	})
 })
+
+// withHandleTTL gives a ready host a configuration that states how long handles live.
+func withHandleTTL(ttl time.Duration) *host {
+	h := newHost().ready()
+	s := snapshot(2, goodKey)
+	s.Services["lm"].Engine.HandleTTL = ttl
+	h.step(relay.ConfigRead{Snapshot: s})
+	return h
+}
+
+var _ = Describe("the age of a KV cache handle", func() {
+	const ttl = 500 * time.Millisecond
+
+	// Guards against a handle that is sent after a dial as long as the handle lives, or by a
+	// host that was suspended meanwhile.
+	It("bounds when it may be sent", func() {
+		h := withHandleTTL(ttl)
+		id := h.submitModel("/verdict/1")
+		d := h.advanceToDecode(id)
+		Expect(d.HandleExpiry).To(Equal(h.now.Add(ttl)))
+		Expect(h.relay.HandleValid(h.now.Add(ttl-1), *d.Source, d.HandleExpiry)).To(BeTrue())
+		Expect(h.relay.HandleValid(h.now.Add(ttl), *d.Source, d.HandleExpiry)).To(BeFalse())
+	})
+
+	// Guards against an answer that a suspended host reads long after it was given.
+	It("counts from the deadline of the prefill if its answer was read later", func() {
+		h := withHandleTTL(ttl)
+		id := h.submitModel("/verdict/1")
+		p := h.advanceToPrefill(id)
+		h.now = p.Deadline.Add(ttl)
+		h.answerPrefill(p)
+		Expect(expect[relay.Decode](h).Source).To(BeNil())
+	})
+
+	It("does not matter if the configuration states no time limit", func() {
+		h := withHandleTTL(0)
+		d := h.advanceToDecode(h.submitModel("/verdict/1"))
+		Expect(d.HandleExpiry).To(BeZero())
+		Expect(h.relay.HandleValid(h.now.Add(time.Hour), *d.Source, d.HandleExpiry)).To(BeTrue())
+	})
+})
+
+var _ = Describe("a KV cache handle that becomes invalid while its request waits for a connection", func() {
+	// Guards against a handle that is sent although the list has changed since the decode was
+	// started.
+	It("is invalid as soon as the list shows another process", func() {
+		h := newHost().ready()
+		p := h.advanceToPrefill(h.submitModel("/verdict/1"))
+		h.answerPrefill(p)
+		d := expect[relay.Decode](h)
+		Expect(h.relay.HandleValid(h.now, *d.Source, d.HandleExpiry)).To(BeTrue())
+		e := sourceEntry(p)
+		e.StartedAt++
+		h.step(relay.EntryChanged{Entry: e})
+		Expect(h.relay.HandleValid(h.now, *d.Source, d.HandleExpiry)).To(BeFalse())
+	})
+
+	// Guards against a request that fails, or takes a retry from the budget, because its handle
+	// was dropped.
+	It("leaves its request at the engine with the reservation, whatever is left of the retry budget", func() {
+		h := newHostWith(func(c *relay.Config) { c.RetryRatio, c.RetrySlack = 0, 0 }).ready()
+		id := h.submitModel("/verdict/1")
+		d := h.advanceToDecode(id)
+		h.step(relay.CallEnded{ID: id, Attempt: d.Attempt.Attempt, Outcome: relay.Unsent, HandleInvalid: true})
+		again := expect[relay.Decode](h)
+		Expect(again.To.ID).To(Equal(d.To.ID))
+		Expect(again.Hold).To(Equal(d.Hold))
+		Expect(again.Source).To(BeNil())
+		h.step(relay.CallEnded{ID: id, Attempt: again.Attempt.Attempt, Outcome: relay.Succeeded, Status: 200})
+		expectNone[relay.Refuse](h)
+		h.advanceToDecode(h.submitModel("/verdict/2"))
+	})
+})
+
+// Guards against the answer to another request that is taken for that of this one.
+var _ = Describe("a prefill answer for a prompt of another length", func() {
+	answerTokens := func(spec relay.RequestSpec, tokens int64) *host {
+		h := newHost().ready()
+		id := h.submit("/verdict/1", spec)
+		p := h.advanceToPrefill(id)
+		h.step(relay.Prefilled{ID: id, Attempt: p.Attempt.Attempt, Outcome: relay.Succeeded, Handle: "kv", Tokens: tokens})
+		return h
+	}
+	stated := relay.RequestSpec{PromptTokens: 5000, MaxOutputTokens: 1000, TokensKnown: true, Deadline: 14 * time.Second}
+
+	It("is not used, and the prompt is prefilled by another engine", func() {
+		h := answerTokens(stated, 4999)
+		expectNone[relay.Decode](h)
+		expect[relay.Prefill](h)
+	})
+
+	It("is told only where the request and the answer state the length", func() {
+		Expect(expect[relay.Decode](answerTokens(stated, 5000)).Handle).To(Equal("kv"))
+		Expect(expect[relay.Decode](answerTokens(stated, 0)).Handle).To(Equal("kv"))
+		Expect(expect[relay.Decode](answerTokens(relay.RequestSpec{Deadline: 14 * time.Second}, 4999)).Handle).To(Equal("kv"))
+	})
+})
--- a/pkg/relay/request.go
+++ b/pkg/relay/request.go
@@ -49,11 +49,13 @@
 	target         backends.Target // plain backend server or decode engine
 	load           backends.Load   // counted at target
 	reservation    string
+	sentHold       string // reservation named in the last decode
 	prefillTarget  backends.Target
 	prefillLoad    backends.Load // counted at prefillTarget
 	prefillBacklog int64         // prompt tokens queued there, this prompt included
-	kvHandle       string
-	localPrefill   bool // the decode engine does the prefill itself
+	prefillUntil   time.Time     // deadline of the call there
+	handle         KVHandle      // of the prefilled KV cache, until it is sent
+	localPrefill   bool          // the decode engine does the prefill itself
 
 	permits  []serverlimit.Process // for which it has permits that have not been used
 	ask      uint64                // for a permit, while it waits for the answer
@@ -96,13 +98,7 @@
 func (r *Relay) release(q *request) {
 	r.releaseDecode(q)
 	r.releasePrefillLoad(q)
-	if q.kvHandle != "" {
-		// Another server drops the KV cache by itself.
-		if r.takesControlCalls(q.prefillTarget) {
-			r.emit(ReleasePrefill{To: q.prefillTarget, Handle: q.kvHandle})
-		}
-		q.kvHandle = ""
-	}
+	r.releaseHandle(q)
 }
 
 // releaseDecode removes the request's load at its server and releases its reservation.
--- a/pkg/relay/staged.go
+++ b/pkg/relay/staged.go
@@ -262,6 +262,7 @@
 	a := q.attemptInfo()
 	a.To = to
 	a.Deadline = earlier(a.Deadline, r.now.Add(3*wait+prefillTimeoutSlack))
+	q.prefillUntil = a.Deadline
 	r.emit(Prefill{Attempt: a, Organisation: q.organisation()})
 }
 
@@ -270,13 +271,14 @@
 	if q == nil {
 		return
 	}
+	e.Outcome = checkPrefill(q, e)
 	// An engine that refuses a prompt is out of memory, or is switching its stage on an
 	// order that has not been reported to this host.
 	r.recordOutcome(q.prefillTarget.ID, e.Outcome, backends.Busy)
 	r.releasePrefillLoad(q)
 	if e.Outcome == Succeeded {
 		r.backends.RecordPrefill(q.prefillTarget.ID, q.prefillBacklog, e.Took)
-		q.kvHandle = e.Handle
+		r.keepHandle(q, e.Handle)
 		r.decode(q)
 		return
 	}
@@ -294,6 +296,7 @@
 	if r.quarantined(q) || (!r.backends.Accepts(r.now, q.target) || !r.permitted(q)) && !r.redirectDecode(q) {
 		return
 	}
+	r.dropInvalidHandle(q)
 	q.phase = decoding
 	q.attempt++
 	q.usePermit(q.target)
@@ -304,8 +307,8 @@
 		Resume:       q.started,
 	}
 	if !q.localPrefill {
-		source := q.prefillTarget
-		d.Source, d.Handle = &source, q.kvHandle
+		source := q.handle.Source
+		d.Source, d.Handle, d.HandleExpiry = &source, q.handle.Name, q.handle.Expiry
 	}
 	if q.retryable() && q.runs+1 < q.route.MaxAttempts {
 		d.FirstEvent = firstEventTimeout
@@ -314,7 +317,7 @@
 			d.FirstEvent += r.ownPrefillTime(q) * localPrefillFactor
 		}
 	}
-	q.reservation, q.kvHandle = "", ""
+	q.reservation, q.sentHold, q.handle = "", q.reservation, KVHandle{}
 	r.emit(d)
 }
 
@@ -345,6 +348,10 @@
 }
 
 func (r *Relay) decodeEnded(q *request, e CallEnded) {
+	if e.HandleInvalid {
+		r.decodeUnsent(q)
+		return
+	}
 	q.serverLost = q.serverLost || e.Outcome == Lost
 	r.recordOutcome(q.target.ID, e.Outcome, backends.Full)
 	r.recordParts(q, e)
--- a/pkg/relayhost/calls.go
+++ b/pkg/relayhost/calls.go
@@ -181,9 +181,13 @@
 func (x *exchange) prefill(e relay.Prefill) relay.Event {
 	begin := boottime.Now()
 	req := x.newRequest(Forward{To: e.To.ID, TimeLeft: timeLeft(e.Deadline), Organisation: e.Organisation, Prefill: true})
-	handle, o := x.controlCall(e.Attempt, req, x.spec.RequestID, x.host.dialect.ParsePrefill)
+	var tokens int64
+	handle, o := x.controlCall(e.Attempt, req, x.spec.RequestID, func(body []byte) (handle string, err error) {
+		handle, tokens, err = x.host.dialect.ParsePrefill(body)
+		return handle, err
+	})
 	return relay.Prefilled{
-		ID: e.ID, Attempt: e.Attempt.Attempt, Outcome: o, Handle: handle,
+		ID: e.ID, Attempt: e.Attempt.Attempt, Outcome: o, Handle: handle, Tokens: tokens,
 		Took: boottime.Now().Sub(begin),
 	}
 }
@@ -241,14 +245,14 @@
 const backgroundCallTimeout = time.Second
 
 // callInBackground makes a call that no request waits for and passes the result to done.
-func (h *Host) callInBackground(to backends.Target, write func(*fasthttp.Request), done func(Answer, error)) {
+func (h *Host) callInBackground(ctx context.Context, to backends.Target, write func(*fasthttp.Request), done func(Answer, error)) {
 	go func() {
 		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 		defer fasthttp.ReleaseRequest(req)
 		defer fasthttp.ReleaseResponse(resp)
 		write(req)
 		req.Header.SetHost(to.Addr)
-		ctx, cancel := context.WithTimeout(h.ctx, backgroundCallTimeout)
+		ctx, cancel := context.WithTimeout(ctx, backgroundCallTimeout)
 		defer cancel()
 		begin := boottime.Now()
 		err := h.clients.forAddr(to.Addr).Do(ctx, req, resp)
--- a/pkg/relayhost/core.go
+++ b/pkg/relayhost/core.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/mulberrystream/mulberrystream/pkg/backends"
 	"github.com/mulberrystream/mulberrystream/pkg/boottime"
 	"github.com/mulberrystream/mulberrystream/pkg/catalog"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
@@ -204,6 +205,13 @@
 	return c.relay.Isolated()
 }
 
+// handleValid reports whether a KV cache handle of a prefill engine may be sent now.
+func (c *core) handleValid(source backends.Target, expiry time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.relay.HandleValid(boottime.Now(), source, expiry)
+}
+
 func (c *core) limits() (catalog.Limits, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/relayhost/dialect.go
+++ b/pkg/relayhost/dialect.go
@@ -57,8 +57,9 @@
 	ParseReservation(body []byte) (hold string, err error)
 	// ReleaseReservation writes a call that releases a reservation.
 	ReleaseReservation(req *fasthttp.Request, hold string)
-	// ParsePrefill reads the answer to a prefill.
-	ParsePrefill(body []byte) (handle string, err error)
+	// ParsePrefill reads the answer to a prefill. tokens is the length of the prompt, or 0
+	// if the answer does not state it.
+	ParsePrefill(body []byte) (handle string, tokens int64, err error)
 	// ReleasePrefill writes a call that frees a KV cache.
 	ReleasePrefill(req *fasthttp.Request, handle string)
 	// RoleOrder writes a call that orders a backend server to change its stage.
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -304,9 +304,10 @@
 	case relay.Send:
 		h.peers.send(e)
 	case relay.ReleaseReservation:
-		h.callInBackground(e.To, func(req *fasthttp.Request) { h.dialect.ReleaseReservation(req, e.Hold) }, ignoreResult)
+		h.callInBackground(h.ctx, e.To, func(req *fasthttp.Request) { h.dialect.ReleaseReservation(req, e.Hold) }, ignoreResult)
 	case relay.ReleasePrefill:
-		h.callInBackground(e.To, func(req *fasthttp.Request) { h.dialect.ReleasePrefill(req, e.Handle) }, ignoreResult)
+		write := func(req *fasthttp.Request) { h.dialect.ReleasePrefill(req, e.Handle) }
+		h.callInBackground(h.withHandleCheck(h.ctx, e.To, e.Expiry), e.To, write, ignoreResult)
 	case relay.RoleOrder:
 		h.sendRoleOrder(e)
 	case relay.RetryRead:
@@ -324,7 +325,7 @@
 	write := func(req *fasthttp.Request) {
 		h.dialect.RoleOrder(req, e.To.ID, e.Stage, h.cfg.Relay.Roster.Self.ID, e.FencingToken)
 	}
-	h.callInBackground(e.To, write, func(a Answer, err error) {
+	h.callInBackground(h.ctx, e.To, write, func(a Answer, err error) {
 		ok := err == nil && h.dialect.ClassifyCall(a, "") == relay.Succeeded
 		h.core.step(relay.RoleOrderAnswered{Backend: e.To.ID, OK: ok, Status: a.Status})
 	})
--- a/pkg/relayhost/stream.go
+++ b/pkg/relayhost/stream.go
@@ -31,6 +31,9 @@
 	}
 	ctx, cancel := x.withDeadline(e.Deadline.Add(answerGrace))
 	defer cancel()
+	if e.Source != nil {
+		ctx = x.host.withHandleCheck(ctx, *e.Source, e.HandleExpiry)
+	}
 	s, err := x.host.clients.forAddr(e.To.Addr).Stream(ctx, x.newRequest(f), e.FirstEvent)
 	if err == nil {
 		defer s.Close()
@@ -40,6 +43,7 @@
 	}
 	if err != nil {
 		ended.Outcome = x.errorOutcome(err, e.To)
+		ended.HandleInvalid = errors.Is(err, errHandleInvalid)
 	}
 	ended.Started = x.headerSent
 	ended.Events = x.eventsRelayed - before
--- /dev/null
+++ b/pkg/sendonce/check.go
@@ -0,0 +1,27 @@
+package sendonce
+
+import "context"
+
+type checkKey struct{}
+
+// WithCheck returns a context whose calls run check once they have a connection, before the
+// first byte of the request is sent. If check fails, the call fails unsent with its error. It
+// is for requests whose content may become invalid while a connection is made.
+func WithCheck(ctx context.Context, check func() error) context.Context {
+	return context.WithValue(ctx, checkKey{}, check)
+}
+
+// connect acquires a connection for a call and runs the call's check.
+func (c *Client) connect(ctx context.Context) (*conn, error) {
+	cn, err := c.acquire(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if check, ok := ctx.Value(checkKey{}).(func() error); ok {
+		if err := check(); err != nil {
+			c.release(cn, false)
+			return nil, err
+		}
+	}
+	return cn, nil
+}
--- a/pkg/sendonce/client.go
+++ b/pkg/sendonce/client.go
@@ -121,7 +121,7 @@
 
 // Do sends req at most once and reads the complete response. It is aborted when ctx ends.
 func (c *Client) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
-	cn, err := c.acquire(ctx)
+	cn, err := c.connect(ctx)
 	if err != nil {
 		return c.wrapError(ctx, "connect", nil, err)
 	}
--- a/pkg/sendonce/stream.go
+++ b/pkg/sendonce/stream.go
@@ -28,7 +28,7 @@
 // if that takes longer than progressTimeout, unless that is 0; see Progress for the body.
 // The stream is aborted when ctx ends, and it takes ownership of req.
 func (c *Client) Stream(ctx context.Context, req *fasthttp.Request, progressTimeout time.Duration) (*Stream, error) {
-	cn, err := c.acquire(ctx)
+	cn, err := c.connect(ctx)
 	if err != nil {
 		fasthttp.ReleaseRequest(req)
 		return nil, c.wrapError(ctx, "connect", nil, err)
