--- a/pkg/sendonce/client.go
+++ b/pkg/sendonce/client.go
@@ -131,7 +131,7 @@
 // Do sends req at most once and reads the complete response. It is aborted when ctx ends.
 func (c *Client) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
 	id := c.callID(req)
-	cn, err := c.acquire(ctx, c.needsNewConn(req, id))
+	cn, err := c.connect(ctx, c.needsNewConn(req, id))
 	if err != nil {
 		return c.wrapError(ctx, "connect", nil, err)
 	}
