sendonce: never send an id twice on a connection

Cause: two calls with the same id on one connection (the decode request sent again without its lost KV cache, a retry at the same server) cannot be told apart by their responses, so the refusal of the first, sent once more, was taken for the response to the second. Callers got 503 for requests that ran (REFUSED), and requests ran at two engines (TWICE).

Change: a call with an id gets an idle connection that has not carried the id, or a new one. Then any response with the id on this connection is that to the call itself, since the peer can repeat only what it has answered there.

--- a/pkg/sendonce/client.go
+++ b/pkg/sendonce/client.go
@@ -45,7 +45,8 @@
 	// EchoHeader names the request header whose value, the ID of the call, peers repeat in
 	// their responses. With it, a response that a peer sends a second time later does not
 	// pass for that to another call: it is skipped if its ID, or the lack of one, is that of
-	// an earlier call on the connection. A call without an ID needs a new connection.
+	// an earlier call on the connection. A call without an ID needs a new connection, and
+	// one with an ID a connection that has not carried the same ID.
 	// By default connections are reused for all calls, which is for peers that never
 	// send a response twice.
 	EchoHeader string
@@ -131,7 +132,7 @@
 // Do sends req at most once and reads the complete response. It is aborted when ctx ends.
 func (c *Client) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
 	id := c.callID(req)
-	cn, err := c.acquire(ctx, c.needsNewConn(req, id))
+	cn, err := c.acquire(ctx, c.usableFor(req, id))
 	if err != nil {
 		return c.wrapError(ctx, "connect", nil, err)
 	}
@@ -171,11 +172,17 @@
 	return string(req.Header.Peek(c.opt.EchoHeader))
 }
 
-// needsNewConn reports whether only a connection without earlier calls shows which response
-// belongs to the call. HEAD does: a second response to another method would be read as if it
-// had no body.
-func (c *Client) needsNewConn(req *fasthttp.Request, id string) bool {
-	return c.opt.EchoHeader != "" && (id == "" || req.Header.IsHead())
+// usableFor returns a function that selects the idle connections on which the response to a
+// call can be told from late responses.
+func (c *Client) usableFor(req *fasthttp.Request, id string) func(*conn) bool {
+	if c.opt.EchoHeader == "" {
+		return func(*conn) bool { return true }
+	}
+	// A late response would be read as if it had no body, as that to HEAD has none.
+	if id == "" || req.Header.IsHead() {
+		return func(*conn) bool { return false }
+	}
+	return func(cn *conn) bool { return !cn.history.has(id) }
 }
 
 // framingFactor is how many times longer than its body a response may be with its chunk
@@ -254,14 +261,14 @@
 	}
 }
 
-// acquire returns an idle connection that is still open, unless needsNew is set, or dials
-// a new one.
-func (c *Client) acquire(ctx context.Context, needsNew bool) (*conn, error) {
+// acquire returns an idle connection that usable selects and that is still open, or dials a
+// new one.
+func (c *Client) acquire(ctx context.Context, usable func(*conn) bool) (*conn, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
 	for {
-		cn, err := c.takeIdle(needsNew)
+		cn, err := c.takeIdle(usable)
 		if err != nil {
 			return nil, err
 		}
@@ -276,18 +283,19 @@
 	}
 }
 
-// takeIdle returns the most recently used idle connection. If there is none, or needsNew is
-// set, it counts a new connection as open and returns nil.
-func (c *Client) takeIdle(needsNew bool) (*conn, error) {
+// takeIdle returns the most recently used idle connection that usable selects. If there is
+// none, it counts a new connection as open and returns nil.
+func (c *Client) takeIdle(usable func(*conn) bool) (*conn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return nil, ErrClosed
 	}
-	if n := len(c.idle); n > 0 && !needsNew {
-		cn := c.idle[n-1]
-		c.idle = c.idle[:n-1]
-		return cn, nil
+	for i, cn := range slices.Backward(c.idle) {
+		if usable(cn) {
+			c.idle = slices.Delete(c.idle, i, i+1)
+			return cn, nil
+		}
 	}
 	if c.open < c.opt.MaxConns {
 		c.open++
--- a/pkg/sendonce/stream.go
+++ b/pkg/sendonce/stream.go
@@ -29,7 +29,7 @@
 // The stream is aborted when ctx ends, and it takes ownership of req.
 func (c *Client) Stream(ctx context.Context, req *fasthttp.Request, progressTimeout time.Duration) (*Stream, error) {
 	id := c.callID(req)
-	cn, err := c.acquire(ctx, c.needsNewConn(req, id))
+	cn, err := c.acquire(ctx, c.usableFor(req, id))
 	if err != nil {
 		fasthttp.ReleaseRequest(req)
 		return nil, c.wrapError(ctx, "connect", nil, err)
