--- a/pkg/sendonce/check.go
+++ b/pkg/sendonce/check.go
@@ -12,8 +12,8 @@
 }
 
 // connect acquires a connection for a call and runs the call's check.
-func (c *Client) connect(ctx context.Context, needsNew bool) (*conn, error) {
-	cn, err := c.acquire(ctx, needsNew)
+func (c *Client) connect(ctx context.Context, usable func(*conn) bool) (*conn, error) {
+	cn, err := c.acquire(ctx, usable)
 	if err != nil {
 		return nil, err
 	}
