origin: types and calls of the tracker of stream origins

Change: the interface of the package that remembers origins, without behaviour. Measured: builds; nothing uses it.

--- /dev/null
+++ b/pkg/origin/types.go
@@ -0,0 +1,136 @@
+package origin
+
+import (
+	"time"
+
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/serverlimit"
+)
+
+// Stream names a stream by the request of the caller that received its first event.
+type Stream struct {
+	RequestID string
+	Service   ident.Route
+}
+
+// Basis says how the version of a stream is known.
+type Basis uint8
+
+// Bases, in the order in which they are preferred.
+const (
+	Unknown     Basis = iota
+	Relayed           // this host relayed the first event
+	Told              // another host told this one
+	OnlyVersion       // no other version can have begun the stream
+)
+
+// Origin is what is known of the beginning of a stream.
+type Origin struct {
+	Version ident.Version
+	Process serverlimit.Process // that sent the first event; zero if Basis is OnlyVersion
+	Basis   Basis
+	From    ident.HostID  // that told or answered; empty if this host knows it itself
+	Age     time.Duration // since the first event, or since a complete view of the versions for OnlyVersion
+}
+
+// Known reports whether the version is known.
+func (o Origin) Known() bool { return o.Basis != Unknown }
+
+// Serving is a process of a backend server and the version of its software.
+type Serving struct {
+	Service ident.Route
+	Process serverlimit.Process
+	Version ident.Version
+}
+
+// Peer is another host whose program keeps origins.
+type Peer struct {
+	ID     ident.HostID
+	Domain ident.FailureDomain
+}
+
+// Config holds the settings of a Tracker.
+type Config struct {
+	Self   ident.HostID
+	Domain ident.FailureDomain
+	// Life is the longest time from the first event of a stream until a caller last
+	// resumes it. A longer one needs more memory and a longer view of the versions.
+	Life time.Duration
+	// Linger is how long a process may still begin streams after its entry was removed:
+	// hosts that cannot read the platform use their last list.
+	Linger time.Duration
+	// Capacity is the number of origins kept. The oldest are forgotten first; their
+	// streams cannot be resumed while several versions serve.
+	Capacity int
+	// Holders is the number of other hosts that are told the origin of a stream, in
+	// different failure domains where there are several.
+	Holders int
+	// Asked is the number of hosts asked when a stream is resumed. It exceeds Holders, as
+	// hosts may have joined or left since.
+	Asked int
+	// AckTimeout is how long the first event of a stream waits until a holder has
+	// acknowledged its origin.
+	AckTimeout time.Duration
+	// AskTimeout is how long a resumed stream waits for answers.
+	AskTimeout time.Duration
+}
+
+// Message is what hosts send each other of origins.
+type Message struct {
+	Notes   []Note   `cbor:"1,keyasint,omitempty"` // origins to keep
+	Acks    []uint64 `cbor:"2,keyasint,omitempty"` // IDs of notes that are kept
+	Asks    []Ask    `cbor:"3,keyasint,omitempty"`
+	Answers []Answer `cbor:"4,keyasint,omitempty"`
+}
+
+// Note tells the origin of a stream.
+type Note struct {
+	_         struct{} `cbor:",toarray"`
+	ID        uint64   // chosen by the sender; 0 if it needs no acknowledgement
+	RequestID string
+	Service   ident.Route
+	Backend   ident.BackendID
+	StartedAt int64
+	Version   ident.Version
+	AgeMS     int64 // since the first event
+}
+
+// Ask asks for the origin of a stream.
+type Ask struct {
+	_         struct{} `cbor:",toarray"`
+	ID        uint64
+	RequestID string
+	Service   ident.Route
+}
+
+// Answer answers an Ask. Basis is Unknown if the host does not know the origin.
+type Answer struct {
+	_       struct{} `cbor:",toarray"`
+	ID      uint64
+	Basis   Basis
+	Backend ident.BackendID
+	// StartedAt is the start of the process, see backends.Entry.
+	StartedAt int64
+	Version   ident.Version
+	AgeMS     int64
+}
+
+// Outgoing is a message to another host.
+type Outgoing struct {
+	To      ident.HostID
+	Message Message
+}
+
+// Resolved is the outcome of a Resolve that was pending.
+type Resolved struct {
+	Stream Stream
+	Origin Origin // Basis is Unknown if no host knows it
+}
+
+// Outputs are the results of the calls since the last Take.
+type Outputs struct {
+	Messages []Outgoing
+	// Recorded are the streams whose first event may now be sent.
+	Recorded []Stream
+	Resolved []Resolved
+}
