relay: event and effect for the past of the list of backend servers

Interface only: a Relay has a Tracker of the origins of streams, ReadHistory asks for the history of the list and HistoryRead delivers it. Nothing emits it yet.

--- a/pkg/relay/config.go
+++ b/pkg/relay/config.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
+	"github.com/mulberrystream/mulberrystream/pkg/origin"
 	"github.com/mulberrystream/mulberrystream/pkg/quarantine"
 	"github.com/mulberrystream/mulberrystream/pkg/quota"
 	"github.com/mulberrystream/mulberrystream/pkg/roster"
@@ -19,6 +20,7 @@
 	Backends backends.Config
 	Parts    quarantine.Config
 	Limits   serverlimit.Config
+	Origins  origin.Config
 
 	// StaleAfter is the age of the configuration beyond which requests that need a
 	// key are refused, because the key may have been revoked since. It is the
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -9,6 +9,7 @@
 	"github.com/mulberrystream/mulberrystream/pkg/catalog"
 	"github.com/mulberrystream/mulberrystream/pkg/fairqueue"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/origin"
 	"github.com/mulberrystream/mulberrystream/pkg/outputlen"
 	"github.com/mulberrystream/mulberrystream/pkg/quarantine"
 	"github.com/mulberrystream/mulberrystream/pkg/quota"
@@ -31,6 +32,7 @@
 	limitNewsAt     time.Time             // last news of sendLimitMessages
 	keepsLimits     map[ident.HostID]bool // hosts whose program keeps the limits of servers
 	awaitingPermit  map[uint64]*request   // by ask
+	origins         *origin.Tracker
 	backends        *backends.Directory
 	budgets         map[ident.Route]*retry.Budget
 	queues          map[ident.Route]*queue
@@ -86,6 +88,7 @@
 		parts:          quarantine.New(cfg.Parts),
 		keepsLimits:    map[ident.HostID]bool{},
 		awaitingPermit: map[uint64]*request{},
+		origins:        origin.New(cfg.Origins, now),
 		backends:       backends.NewDirectory(cfg.Backends),
 		budgets:        map[ident.Route]*retry.Budget{},
 		queues:         map[ident.Route]*queue{},
@@ -155,6 +158,8 @@
 		r.roster.SetSeeds(e.Seeds)
 	case Drain:
 		r.drain()
+	case HistoryRead:
+		r.historyRead(e)
 	case RoleOrderAnswered:
 		r.orderAnswered(e)
 	case Tick:
