backends: software version of a server, and the request that a caller resumes

The list states the version of each server's software and a caller names the request that received the first event of the stream that it resumes; neither was read. Both are decoded now and used by nothing yet. An entry whose version is no string is unusable, as with its other fields.

--- a/pkg/backends/directory.go
+++ b/pkg/backends/directory.go
@@ -275,5 +275,5 @@
 }
 
 func (s *server) target() Target {
-	return Target{ID: s.ID, Addr: s.Addr, Domain: s.Domain, StartedAt: s.StartedAt}
+	return Target{ID: s.ID, Addr: s.Addr, Domain: s.Domain, StartedAt: s.StartedAt, Version: s.Version}
 }
--- a/pkg/backends/types.go
+++ b/pkg/backends/types.go
@@ -30,7 +30,8 @@
 	Draining  bool
 	Stage     Stage
 	Models    []ident.Model
-	StartedAt int64 // Unix milliseconds; distinguishes two processes with the same id
+	StartedAt int64         // Unix milliseconds; distinguishes two processes with the same id
+	Version   ident.Version // of the server's software; empty if it states none
 }
 
 // Target is the backend server picked for a request.
@@ -39,6 +40,7 @@
 	Addr      string
 	Domain    ident.FailureDomain
 	StartedAt int64 // see Entry
+	Version   ident.Version
 }
 
 // Process returns the process that was picked.
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -29,8 +29,11 @@
 	OutputHint      int64 // the caller's estimate of the output tokens; 0 if not stated
 	// SharedParts are the parts of the prompt that other requests may have too.
 	SharedParts []ident.PromptPart
-	Resumes     bool              // continues a stream after the last event that the caller received
-	Content     ident.ContentHash // see ident.HashContent
+	Resumes     bool // continues a stream after the last event that the caller received
+	// ResumesRequest is the RequestID of the request that received the first event of the
+	// stream; empty if the caller does not name it.
+	ResumesRequest string
+	Content        ident.ContentHash // see ident.HashContent
 }
 
 // Outcome classifies the end of a call to a backend server.
