backends: picks by software version, and room for streams that need a scarce one

A pinned query gets only servers of its version. While a service has several versions, the decode engines of one that has at most a third of them keep half of their memory and slots for pinned queries, and other requests prefer the rest: streams begun at that version can go nowhere else. Such engines are not switched to prefill. A process of another version under the same id does not accept a request picked for the old one.

--- a/pkg/backends/directory.go
+++ b/pkg/backends/directory.go
@@ -71,14 +71,14 @@
 	}
 }
 
-// Put adds or updates an entry. An entry with another start time or service is a new
+// Put adds or updates an entry. An entry with another start time, version or service is a new
 // process that does not have the requests of the old one, so this host's load and the
 // health state start anew. A changed address or stage resets only the health state.
 func (d *Directory) Put(e Entry) {
 	delete(d.withheld, e.ID)
 	delete(d.departed, e.ID)
 	s := d.servers[e.ID]
-	if s == nil || s.Service != e.Service || s.StartedAt != e.StartedAt {
+	if s == nil || s.Service != e.Service || s.StartedAt != e.StartedAt || s.Version != e.Version {
 		d.Remove(e.ID)
 		s = &server{Entry: e, leaving: d.hasAnnounced(e.ID, e.StartedAt), waitUntil: d.waitOf(e.ID, e.StartedAt)}
 		d.servers[e.ID] = s
--- a/pkg/backends/pick.go
+++ b/pkg/backends/pick.go
@@ -22,6 +22,10 @@
 	UnseenRequests float64
 	// Unlimited excludes the servers that have named a limit.
 	Unlimited bool
+	// Version is the preferred software version, or the required one if Pinned is set;
+	// empty without Pinned: no preference.
+	Version ident.Version
+	Pinned  bool
 }
 
 const (
@@ -43,6 +47,9 @@
 	if !d.askable(now, s, q) || s.Stage != q.Stage || s.departing() || s.switching(now) || !s.listed(now) || !s.health.usable(now) || !s.accepts(now) {
 		return false
 	}
+	if !s.matchesVersion(q) {
+		return false
+	}
 	if q.Model != "" && len(s.Models) > 0 && !slices.Contains(s.Models, q.Model) {
 		return false
 	}
@@ -50,17 +57,26 @@
 }
 
 // PickDecode returns a decode engine with free KV cache for a request, or false if no
-// engine has capacity now.
+// engine has capacity now. A part of the engines of a scarce version is kept for the
+// requests that require it.
 func (d *Directory) PickDecode(now time.Time, q Query) (Target, bool) {
+	var scarce []ident.Version
+	if !q.Pinned {
+		scarce = d.scarceVersions(now, q.Service)
+	}
 	all := d.candidates(q.Service, func(s *server) (float64, bool) {
 		if !d.eligible(now, s, q) || now.Sub(s.lastFull) < fullBackoff && !s.lastFull.IsZero() {
 			return 0, false
 		}
+		share, penalty := 1.0, d.penalty(now, s, q)
+		if slices.Contains(scarce, s.Version) {
+			share, penalty = scarceShare, penalty+scarcePenalty
+		}
 		l := s.totalLoad()
-		if l.Memory+q.Need.Memory > q.MemoryPerServer || l.Requests >= q.SlotsPerServer {
+		if float64(l.Memory+q.Need.Memory) > share*float64(q.MemoryPerServer) || float64(l.Requests) >= share*float64(q.SlotsPerServer) {
 			return 0, false
 		}
-		return float64(l.Memory)/float64(q.MemoryPerServer) + d.penalty(now, s, q), true
+		return float64(l.Memory)/float64(q.MemoryPerServer) + penalty, true
 	})
 	return d.pick(now, all, q.UnseenRequests*float64(q.Need.Memory)/float64(q.MemoryPerServer))
 }
@@ -132,7 +148,7 @@
 // penalty returns what failures, distance and unreachable reports add to the cost of a
 // server.
 func (d *Directory) penalty(now time.Time, s *server, q Query) float64 {
-	p := failurePenalty * s.health.currentFailureRate(now, d.cfg.FailureHalfLife)
+	p := failurePenalty*s.health.currentFailureRate(now, d.cfg.FailureHalfLife) + s.versionPenalty(q)
 	if q.PreferredDomain != "" && s.Domain != q.PreferredDomain {
 		p += crossDomainPenalty
 	}
@@ -171,7 +187,8 @@
 
 // PickSwitch returns the server that should change its stage: the one with the fewest
 // requests in the failure domain with the most servers of that stage. The last server of
-// a stage in a domain is never picked, so that a partitioned domain keeps both stages.
+// a stage in a domain is never picked, so that a partitioned domain keeps both stages, nor
+// an engine of a version that is scarce among the decode engines.
 func (d *Directory) PickSwitch(now time.Time, service ident.Route, from Stage) (Target, bool) {
 	inDomain := map[ident.FailureDomain]int{}
 	for _, s := range d.byService[service] {
@@ -180,8 +197,12 @@
 		}
 	}
 	q := Query{Service: service, Stage: from, Unlimited: true}
+	var scarce []ident.Version
+	if from == Decode {
+		scarce = d.scarceVersions(now, service)
+	}
 	all := d.candidates(service, func(s *server) (float64, bool) {
-		if !d.eligible(now, s, q) || inDomain[s.Domain] < 2 {
+		if !d.eligible(now, s, q) || inDomain[s.Domain] < 2 || slices.Contains(scarce, s.Version) {
 			return 0, false
 		}
 		l := s.totalLoad()
--- a/pkg/backends/waiting.go
+++ b/pkg/backends/waiting.go
@@ -66,7 +66,7 @@
 // requests: it has neither asked for time nor announced that it leaves.
 func (d *Directory) Accepts(now time.Time, t Target) bool {
 	s := d.servers[t.ID]
-	return s != nil && s.StartedAt == t.StartedAt && !s.leaving && !now.Before(s.waitUntil)
+	return s != nil && s.StartedAt == t.StartedAt && s.Version == t.Version && !s.leaving && !now.Before(s.waitUntil)
 }
 
 // Waits reports whether a server wants nothing from this host now.
