--- a/pkg/origin/types.go
+++ b/pkg/origin/types.go
@@ -49,32 +49,6 @@
 	Domain ident.FailureDomain
 }
 
-// Config holds the settings of a Tracker.
-type Config struct {
-	Self   ident.HostID
-	Domain ident.FailureDomain
-	// Life is the longest time from the first event of a stream until a caller last
-	// resumes it. A longer one needs more memory and a longer view of the versions.
-	Life time.Duration
-	// Linger is how long a process may still begin streams after its entry was removed:
-	// hosts that cannot read the platform use their last list.
-	Linger time.Duration
-	// Capacity is the number of origins kept. The oldest are forgotten first; their
-	// streams cannot be resumed while several versions serve.
-	Capacity int
-	// Holders is the number of other hosts that are told the origin of a stream, in
-	// different failure domains where there are several.
-	Holders int
-	// Asked is the number of hosts asked when a stream is resumed. It exceeds Holders, as
-	// hosts may have joined or left since.
-	Asked int
-	// AckTimeout is how long the first event of a stream waits until a holder has
-	// acknowledged its origin.
-	AckTimeout time.Duration
-	// AskTimeout is how long a resumed stream waits for answers.
-	AskTimeout time.Duration
-}
-
 // Message is what hosts send each other of origins.
 type Message struct {
 	Notes   []Note   `cbor:"1,keyasint,omitempty"` // origins to keep
@@ -103,7 +77,8 @@
 	Service   ident.Route
 }
 
-// Answer answers an Ask. Basis is Unknown if the host does not know the origin.
+// Answer answers an Ask. Basis is Unknown if the host does not know the origin. If Backend is
+// set then, the host has a record of the stream that cannot be relied on.
 type Answer struct {
 	_       struct{} `cbor:",toarray"`
 	ID      uint64
