relay: streams go on only at the software version that began them

Callers got texts that were joined from two software versions of the backend servers: the pick of an engine ignored versions, after the loss of an engine within a response and when a caller resumed its stream at any host.

A request is now pinned to a version: by the process that sent the first event relayed, or by the origin of the stream that its caller resumes. Every later pick for it requires that version. The origin is recorded, and told to a few other hosts, before the first event is relayed; while one version has served that costs no message and no wait. A stream whose origin no host knows, or of whose version no server is left, is refused at once with 503. If the process of the first event may have been another one under its id, the answer is aborted rather than continued.

Pinned requests wait for memory apart from the others while several versions serve, so that neither blocks the other.

--- a/pkg/relay/admit.go
+++ b/pkg/relay/admit.go
@@ -30,6 +30,10 @@
 	}
 	q.expectedOutput = r.predictor.ExpectedOutput(q.route.Name, q.spec.MaxOutputTokens, q.spec.OutputHint)
 	r.recordWork(q)
+	if q.spec.Resumes {
+		r.resolveOrigin(q)
+		return
+	}
 	r.enqueue(q)
 }
 
@@ -117,7 +121,7 @@
 func (r *Relay) queueTimeout(q *request) time.Duration {
 	remaining := q.deadline.Sub(r.now)
 	switch {
-	case q.started:
+	case q.pinned:
 		return min(resumeQueueTimeout, remaining)
 	case q.route.LatencyTarget == 0:
 		return remaining / 2
--- a/pkg/relay/config.go
+++ b/pkg/relay/config.go
@@ -63,6 +63,7 @@
 		Quota:        quota.DefaultConfig(),
 		Backends:     servers,
 		Parts:        quarantine.DefaultConfig(),
+		Origins:      origin.DefaultConfig(self.ID, self.Domain),
 		Limits:       serverlimit.DefaultConfig(self.ID, servers.Seed),
 		StaleAfter:   4 * time.Second,
 		ApplyWithin:  2 * time.Second,
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -6,6 +6,7 @@
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
 	"github.com/mulberrystream/mulberrystream/pkg/catalog"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/origin"
 	"github.com/mulberrystream/mulberrystream/pkg/quarantine"
 	"github.com/mulberrystream/mulberrystream/pkg/quota"
 	"github.com/mulberrystream/mulberrystream/pkg/roster"
@@ -213,6 +214,9 @@
 	Limits      []serverlimit.Note   `cbor:"14,keyasint,omitempty"`
 	Asks        []serverlimit.Ask    `cbor:"15,keyasint,omitempty"` // for permits, to a coordinator
 	Answers     []serverlimit.Answer `cbor:"16,keyasint,omitempty"` // of a coordinator
+	Origins     *origin.Message      `cbor:"17,keyasint,omitempty"`
+	// KeepsOrigins says that the sender's program keeps the origins of streams.
+	KeepsOrigins bool `cbor:"18,keyasint,omitempty"`
 }
 
 // UnreachableNote names a backend server that the sender failed to reach.
--- a/pkg/relay/log.go
+++ b/pkg/relay/log.go
@@ -25,6 +25,10 @@
 	Took         time.Duration // since the request arrived
 	Outcome      string
 	Detail       string // figures that explain the outcome
+
+	Resumes       string        // request that began the stream that the request resumes
+	ServerVersion ident.Version // of the software of backend servers
+	Basis         string        // how ServerVersion is known
 }
 
 func (Decision) effect() {}
--- a/pkg/relay/notices.go
+++ b/pkg/relay/notices.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
-	"github.com/mulberrystream/mulberrystream/pkg/fairqueue"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 )
 
@@ -23,6 +22,10 @@
 // refuseUntilAccepting ends a request for which no server is left: at once with the time
 // until the first one wants requests again, if all have asked for time.
 func (r *Relay) refuseUntilAccepting(q *request, otherwise time.Duration) {
+	if r.versionGone(q) {
+		r.fail(q, VersionGone, 0)
+		return
+	}
 	if wait := r.backends.TimeUntilAccepting(r.now, q.service.Name, answeringStage(q.service)); wait > 0 {
 		r.fail(q, AskedToWait, r.spread(wait))
 		return
@@ -40,16 +43,14 @@
 	if wait == 0 {
 		return
 	}
-	var all []*request
-	qu.items.Each(func(it fairqueue.Item[ID, *request]) { all = append(all, it.Value) })
-	for _, q := range all {
+	for _, q := range qu.all() {
 		r.fail(q, AskedToWait, r.spread(wait))
 	}
 }
 
 // redirectDecode picks another decode engine for a request whose engine has asked for time
-// or announced that it leaves since it was reserved. It ends the request and returns false
-// if there is none.
+// or announced that it leaves since it was reserved. If there is none it ends the request, or
+// queues it if it is pinned to a version, and returns false.
 func (r *Relay) redirectDecode(q *request) bool {
 	r.logRequest(q, "redirect", "engine takes no new requests")
 	load := q.load
@@ -57,6 +58,11 @@
 	query := r.decodeQuery(q)
 	query.Unlimited = true
 	to, ok := r.backends.PickDecode(r.now, query)
+	if !ok && q.pinned {
+		r.release(q)
+		r.enqueue(q)
+		return false
+	}
 	if !ok {
 		r.refuseUntilAccepting(q, retryAfterSoon)
 		return false
--- a/pkg/relay/origins_test.go
+++ b/pkg/relay/origins_test.go
@@ -53,6 +53,9 @@
 
 // firstEvent relays the first event of a stream.
 func (h *host) firstEvent(d relay.Decode) {
+	GinkgoHelper()
+	h.step(relay.FirstEvent{ID: d.ID, Attempt: d.Attempt.Attempt})
+	Expect(expect[relay.RelayStream](h).ID).To(Equal(d.ID))
 	h.step(relay.StreamStarted{ID: d.ID, Attempt: d.Attempt.Attempt})
 }
 
@@ -69,6 +72,9 @@
 			d := h.begin(fmt.Sprint("r", i))
 			h.lose(d)
 			Expect(expect[relay.Reserve](h).To.Version).To(Equal(d.To.Version))
+			h.step(relay.CallerLeft{ID: d.ID})
+			h.wait(3 * time.Second) // until the engine is no longer suspended
+			h.platformRead()
 		}
 	})
 
--- a/pkg/relay/platform.go
+++ b/pkg/relay/platform.go
@@ -42,6 +42,7 @@
 	if e.Era == r.storeEra {
 		r.storeRevision = max(r.storeRevision, e.Revision)
 	}
+	r.origins.Confirmed(r.now, e.Sent)
 	if !r.failingSince.IsZero() {
 		r.log(Decision{Step: "platform_back", Age: r.now.Sub(r.failingSince), Outcome: "reads succeed"})
 		r.reconnectedAt = r.now
@@ -88,12 +89,14 @@
 		}
 	}
 	r.backendsListed = true
+	r.trackVersions(e.Entries)
 }
 
 // entryRemoved removes a server. If the platform is unreachable or was until recently,
 // the entry may only have expired during the outage: a live server registers again, so
 // the entry is kept unused for a grace period.
 func (r *Relay) entryRemoved(id ident.BackendID) {
+	r.origins.Removed(r.now, id)
 	justReconnected := !r.reconnectedAt.IsZero() && r.now.Sub(r.reconnectedAt) < r.cfg.Backends.MissingGrace
 	if justReconnected || !r.connected() {
 		r.backends.MarkMissing(r.now, id)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -7,7 +7,6 @@
 
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
 	"github.com/mulberrystream/mulberrystream/pkg/catalog"
-	"github.com/mulberrystream/mulberrystream/pkg/fairqueue"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 	"github.com/mulberrystream/mulberrystream/pkg/origin"
 	"github.com/mulberrystream/mulberrystream/pkg/outputlen"
@@ -33,6 +32,7 @@
 	keepsLimits     map[ident.HostID]bool // hosts whose program keeps the limits of servers
 	awaitingPermit  map[uint64]*request   // by ask
 	origins         *origin.Tracker
+	resumption      resumption
 	backends        *backends.Directory
 	budgets         map[ident.Route]*retry.Budget
 	queues          map[ident.Route]*queue
@@ -69,14 +69,6 @@
 	rolesPlannedAt     time.Time
 }
 
-// queue holds the requests of a model service that wait for memory.
-type queue struct {
-	items *fairqueue.Queue[ID, *request]
-	// freeRate is the rate at which finished requests of this host free KV cache, in
-	// tokens per second.
-	freeRate rate
-}
-
 // New returns a Relay that has no configuration yet.
 func New(cfg Config, now time.Time) *Relay {
 	cfg.Backends.Limits = serverlimit.New(cfg.Limits, now)
@@ -89,6 +81,7 @@
 		keepsLimits:    map[ident.HostID]bool{},
 		awaitingPermit: map[uint64]*request{},
 		origins:        origin.New(cfg.Origins, now),
+		resumption:     newResumption(),
 		backends:       backends.NewDirectory(cfg.Backends),
 		budgets:        map[ident.Route]*retry.Budget{},
 		queues:         map[ident.Route]*queue{},
@@ -112,6 +105,7 @@
 	}
 	r.effects = nil
 	r.handle(e)
+	r.applyOrigins()
 	r.refuseQuarantined()
 	r.startQueued()
 	r.sendHeartbeat()
@@ -132,6 +126,8 @@
 		r.reserved(e)
 	case Prefilled:
 		r.prefilled(e)
+	case FirstEvent:
+		r.firstEvent(e)
 	case StreamStarted:
 		r.streamStarted(e)
 	case CallEnded:
@@ -144,6 +140,7 @@
 		r.entriesListed(e)
 	case EntryChanged:
 		r.backends.Put(e.Entry)
+		r.trackVersion(e.Entry)
 	case EntryRemoved:
 		r.entryRemoved(e.ID)
 	case ServerNoticed:
@@ -173,14 +170,14 @@
 func (r *Relay) Next() time.Time {
 	next := r.roster.Next()
 	for _, q := range r.queues {
-		if q.items.Len() > 0 {
+		if q.len() > 0 {
 			next = earlier(next, r.now.Add(queuePollInterval))
 		}
 	}
 	if len(r.awaitingPermit) > 0 {
 		next = earlier(next, r.now.Add(queuePollInterval))
 	}
-	return next
+	return r.nextOrigins(next)
 }
 
 // queuePollInterval is the interval at which queues are checked when there are no other
@@ -244,6 +241,7 @@
 	r.parts.Tick(r.now)
 	r.updateServerLimits()
 	r.expireAsks()
+	r.tickOrigins()
 	r.expireOrders()
 	r.replanRoles()
 	r.finishDrain()
@@ -274,8 +272,9 @@
 		Version:   r.configVersion(),
 		Parts:     r.parts.Notes(r.now),
 
-		KeepsLimits: true,
-		Limits:      r.backends.Limits().Notes(r.now),
+		KeepsLimits:  true,
+		Limits:       r.backends.Limits().Notes(r.now),
+		KeepsOrigins: true,
 	}
 	for id, l := range r.backends.OwnLoads() {
 		m.Load = append(m.Load, BackendLoad{Backend: id, Requests: l.Requests, Memory: l.Memory, Prompt: l.Prompt})
@@ -294,6 +293,7 @@
 		r.quota.ApplyRelayed(r.now, m.Relayed)
 		r.parts.Apply(r.now, m.Parts)
 		r.applyLimitMessage(m)
+		r.applyOriginMessage(m)
 		return
 	}
 	fresh, restarted := r.roster.Receive(r.now, m.Heartbeat)
@@ -330,6 +330,8 @@
 	r.applyLeaving(from.ID, m.Leaving)
 	r.keepsLimits[from.ID] = m.KeepsLimits
 	r.applyLimitMessage(m)
+	r.setKeeper(from.ID, m.KeepsOrigins)
+	r.applyOriginMessage(m)
 	r.applyPeerRoles(from.ID, restarted, m)
 }
 
@@ -372,6 +374,7 @@
 		delete(r.peerConfirmedAt, id)
 		delete(r.avoidReaderUntil, id)
 		delete(r.keepsLimits, id)
+		r.setKeeper(id, false)
 	}
 }
 
--- a/pkg/relay/request.go
+++ b/pkg/relay/request.go
@@ -17,6 +17,7 @@
 	prefilling              // runs at a prefill engine
 	decoding                // runs at a decode engine
 	calling                 // runs at a plain backend server
+	resolving               // waits until it is known which version began its stream
 	permitting              // waits for the permit of a server that has named a limit
 )
 
@@ -39,6 +40,8 @@
 	runs       int // calls after which a backend server may have run it
 	retries    int // retries taken from the budget
 	avoid      []ident.BackendID
+	pinned     bool          // runs only at version
+	version    ident.Version // of the servers' software
 	started    bool          // part of the answer has been sent to the caller
 	mayHaveRun bool          // a backend server may have run it
 	serverLost bool          // a backend server has not answered it completely
@@ -60,6 +63,10 @@
 	askedFor serverlimit.Process
 	askedAt  time.Time
 	resume   func(granted bool) // goes on after the answer
+
+	beganBy         serverlimit.Process // that sent the first event relayed
+	beganAt         time.Time
+	historyDeadline time.Time // of the wait for the history of the list; zero if it never waited
 }
 
 func (q *request) organisation() ident.Organisation {
@@ -144,9 +151,10 @@
 		r.quota.Refund(r.now, q.org.Name, q.chargedTokens)
 	}
 	if qu := r.queues[q.service.Name]; qu != nil {
-		qu.items.Remove(q.id)
+		qu.remove(q.id)
 	}
 	r.forgetAsk(q)
+	r.forgetOrigin(q)
 	delete(r.requests, q.id)
 }
 
--- a/pkg/relay/serverlimits.go
+++ b/pkg/relay/serverlimits.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
-	"github.com/mulberrystream/mulberrystream/pkg/fairqueue"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 	"github.com/mulberrystream/mulberrystream/pkg/roster"
 	"github.com/mulberrystream/mulberrystream/pkg/serverlimit"
@@ -190,9 +189,7 @@
 	if wait == 0 || askable {
 		return
 	}
-	var all []*request
-	qu.items.Each(func(it fairqueue.Item[ID, *request]) { all = append(all, it.Value) })
-	for _, q := range all {
+	for _, q := range qu.all() {
 		r.fail(q, NoPermit, r.spread(wait))
 	}
 }
--- a/pkg/relay/staged.go
+++ b/pkg/relay/staged.go
@@ -19,16 +19,16 @@
 	q.phase = queued
 	qu := r.queues[q.service.Name]
 	if qu == nil {
-		qu = &queue{items: fairqueue.New[ID, *request](0)}
+		qu = newQueue()
 		r.queues[q.service.Name] = qu
 	}
-	qu.items.Push(fairqueue.Item[ID, *request]{
+	qu.push(fairqueue.Item[ID, *request]{
 		Key:          q.id,
 		Organisation: q.organisation(),
 		Cost:         q.cost(r.predictor),
 		Priority:     q.queueRank(r.predictor),
 		Value:        q,
-	})
+	}, q.pinned && !r.backends.OneVersion(q.service.Name, backends.Decode))
 }
 
 // cost returns the decode memory that a request occupies over time, in token seconds.
@@ -41,7 +41,7 @@
 // the cheapest comes first, which serves most callers in time while memory is short.
 func (q *request) queueRank(p *outputlen.Predictor) int {
 	const costRange = 1 << 20
-	if q.started {
+	if q.pinned {
 		return costRange
 	}
 	return -q.priority()*costRange - int(min(q.cost(p), costRange-1))
@@ -50,31 +50,25 @@
 // startQueued starts the queued requests that fit.
 func (r *Relay) startQueued() {
 	for service, qu := range r.queues {
-		if qu.items.Len() > 0 {
+		if qu.len() > 0 {
 			r.serveQueue(service, qu)
 		}
 	}
 }
 
 func (r *Relay) serveQueue(service ident.Route, qu *queue) {
-	var expired []*request
-	qu.items.Each(func(it fairqueue.Item[ID, *request]) {
-		if !r.now.Before(it.Value.queueDeadline) {
-			expired = append(expired, it.Value)
+	for _, q := range qu.all() {
+		switch {
+		case r.versionGone(q):
+			r.fail(q, VersionGone, 0)
+		case !r.now.Before(q.queueDeadline):
+			r.logRequest(q, "overload", "waited for "+q.waitingFor)
+			r.fail(q, Overloaded, r.overloadRetryAfter(qu))
 		}
-	})
-	for _, q := range expired {
-		r.logRequest(q, "overload", "waited for "+q.waitingFor)
-		r.fail(q, Overloaded, r.overloadRetryAfter(qu))
 	}
 	r.refuseQueued(service, qu)
 	r.refuseUnpermitted(service, qu)
-	qu.items.Scan(func(it fairqueue.Item[ID, *request]) fairqueue.Decision {
-		if !r.start(it.Value) {
-			return fairqueue.Stop
-		}
-		return fairqueue.Take
-	})
+	qu.start(r.start)
 	r.refuseUnpermitted(service, qu)
 }
 
@@ -82,7 +76,7 @@
 // requests have been served at the current rate of freed memory.
 func (r *Relay) overloadRetryAfter(qu *queue) time.Duration {
 	queuedTokens := 0.0
-	qu.items.Each(func(it fairqueue.Item[ID, *request]) { queuedTokens += float64(it.Value.expectedMemory()) })
+	qu.each(func(q *request) { queuedTokens += float64(q.expectedMemory()) })
 	freeRate := max(qu.freeRate.value(r.now), minFreeRate)
 	wait := time.Duration(queuedTokens / freeRate * float64(time.Second))
 	return min(max(wait, minOverloadRetryAfter), maxOverloadRetryAfter)
@@ -105,6 +99,9 @@
 		q.waitingFor = "prefill engine"
 		return false
 	}
+	if q.pinned && !r.backends.ListedVersion(q.service.Name, backends.Decode, q.version, q.avoid) {
+		q.avoid = nil // no other server of the version is left
+	}
 	query := r.decodeQuery(q)
 	for {
 		to, ok := r.backends.PickDecode(r.now, query)
@@ -160,6 +157,8 @@
 		MemoryPerServer: q.service.Engine.MemoryTokens,
 		SlotsPerServer:  q.service.Engine.Slots,
 		UnseenRequests:  r.unreportedRequests(q.service.Name),
+		Version:         q.version,
+		Pinned:          q.pinned,
 	}
 }
 
@@ -190,9 +189,9 @@
 }
 
 func (r *Relay) prefillQuery(q *request) backends.Query {
-	near := q.target.Domain
+	near, version := q.target.Domain, q.target.Version
 	if near == "" {
-		near = r.cfg.Backends.Domain
+		near, version = r.cfg.Backends.Domain, q.version
 	}
 	return backends.Query{
 		Service:         q.service.Name,
@@ -202,6 +201,7 @@
 		PreferredDomain: near,
 		Need:            backends.Load{Requests: 1, Memory: q.spec.PromptTokens, Prompt: q.spec.PromptTokens},
 		MemoryPerServer: q.service.Engine.MemoryTokens,
+		Version:         version,
 	}
 }
 
@@ -338,6 +338,9 @@
 	if q == nil {
 		return
 	}
+	if !q.started {
+		r.eventRelayed(q)
+	}
 	q.started = true
 	q.mayHaveRun = true
 	r.backends.Succeeded(r.now, q.target.ID)
@@ -375,6 +378,10 @@
 		return
 	}
 	r.release(q)
+	if q.started && !r.originCertain(q) {
+		r.fail(q, OriginUnknown, 0)
+		return
+	}
 	if r.resumable(q, e) {
 		q.avoid = append(q.avoid, q.target.ID)
 		q.localPrefill = false
--- a/pkg/relayhost/core.go
+++ b/pkg/relayhost/core.go
@@ -114,6 +114,8 @@
 		return e.ID, true
 	case relay.Decode:
 		return e.ID, true
+	case relay.RelayStream:
+		return e.ID, true
 	}
 	return 0, false
 }
--- a/pkg/relayhost/log.go
+++ b/pkg/relayhost/log.go
@@ -117,6 +117,9 @@
 		fields = append(fields, zap.Uint64("version", d.Version))
 	}
 	fields = append(fields, zap.Duration("age_ms", d.Age), zap.Duration("took_ms", d.Took))
+	text("resumes", d.Resumes)
+	text("server_version", string(d.ServerVersion))
+	text("basis", d.Basis)
 	text("outcome", d.Outcome)
 	text("detail", d.Detail)
 	ce.Write(fields...)
--- a/pkg/relayhost/stream.go
+++ b/pkg/relayhost/stream.go
@@ -60,12 +60,20 @@
 		return o, x.bufferStream(s)
 	}
 	events, before := eventstream.NewReader(s), x.eventsRelayed
+	recorded := x.spec.Resumes || before > 0
 	for {
 		block, err := events.Next()
 		if errors.Is(err, io.EOF) && (len(block) > 0 || s.EndsWithConnection() && x.eventsRelayed == before) {
 			// A complete stream ends with an event, whatever delimits its body.
 			return relay.Lost, io.ErrUnexpectedEOF
 		}
+		if len(block) > 0 && !recorded {
+			s.Progress(e.NextEvent, maxBytesPerEvent)
+			if !x.recordOrigin(e) {
+				return relay.Aborted, nil
+			}
+			recorded = true
+		}
 		if len(block) > 0 {
 			if !x.headerSent {
 				x.sendHeader(e, s)
@@ -93,6 +101,24 @@
 	}
 }
 
+// recordOrigin tells the relay that the first event of a stream has arrived, and waits until
+// it may be relayed. It returns false if the caller leaves or the deadline passes before.
+func (x *exchange) recordOrigin(e relay.Decode) bool {
+	x.host.core.step(relay.FirstEvent{ID: e.ID, Attempt: e.Attempt.Attempt})
+	ctx, cancel := x.withDeadline(e.Deadline)
+	defer cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case effect := <-x.job.effects:
+			if r, ok := effect.(relay.RelayStream); ok && r.Attempt == e.Attempt.Attempt {
+				return true
+			}
+		}
+	}
+}
+
 // maxBytesPerEvent limits the bytes between two events with their framing.
 const maxBytesPerEvent = 2 * eventstream.MaxEvent
 
