follow, relayhost: read which servers were listed in the past from the store's history

Cause: a host that has just started knows the servers that are listed now, not those that have left. After a start of all hosts nothing could tell whether one version alone had served, so all resumed streams would have to be refused.

Change: follow.ReadHistory finds the earliest revision that the store still keeps, with steps that grow and then halvings, bounded in calls and bytes, and returns the changes since. relayhost derives the engines that were listed: a history since the store's creation is complete; another one holds what the store keeps by its settings (platform.history_s). It proves nothing if an entry was removed or replaced whose version the history does not show, if a listed server started within that time and its first write is gone (changes were dropped early), or if the store was ever restored from an older copy.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -25,6 +25,9 @@
 	Value    []byte
 	Revision uint64
 	Removed  bool
+	// Created is the revision at which the key was created; 0 if that is unknown. Mirrors
+	// do not pass it on.
+	Created uint64 `cbor:"-"`
 }
 
 // Position is a point in the history of the store. A store that is restored from an older
--- a/pkg/follow/mirror.go
+++ b/pkg/follow/mirror.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -118,6 +119,13 @@
 // age returns the largest possible age of the copy. The caller must hold the lock.
 func (m *Mirror) age() time.Duration { return m.now().Sub(m.asOf) }
 
+// Copy returns the items of the copy and its position; ok is false if there is none yet.
+func (m *Mirror) Copy() (items []Item, at Position, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Collect(maps.Values(m.items)), Position{m.era, m.revision}, m.revision != 0
+}
+
 // List returns a page of the copy.
 func (m *Mirror) List(_ context.Context, prefix, after string) (Page, error) {
 	m.mu.Lock()
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -31,6 +31,11 @@
 	Decoder Decoder
 	Source  follow.Source
 	Prefix  string // of the store keys to follow
+	// EntryPrefix is the prefix of the keys of backend servers' entries.
+	EntryPrefix string
+	// Retention is how long the store keeps its changes for reads from an earlier revision.
+	// If it is 0, such reads prove something only if they reach back to the store's creation.
+	Retention time.Duration
 
 	CallerAddr  string // IP:port for callers
 	ReadyAddr   string // IP:port for the load balancer's readiness check
@@ -309,6 +314,8 @@
 		h.callInBackground(e.To, func(req *fasthttp.Request) { h.dialect.ReleasePrefill(req, e.Handle) }, ignoreResult)
 	case relay.RoleOrder:
 		h.sendRoleOrder(e)
+	case relay.ReadHistory:
+		go func() { h.core.step(h.readHistory()) }()
 	case relay.RetryRead:
 		h.follower.RetryNow()
 	default:
--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -19,6 +19,8 @@
 	set           *metrics.Set
 	storeReads    *metrics.Counter
 	storeFailures *metrics.Counter
+	historyReads  *metrics.Counter
+	historyCalls  *metrics.Counter // to the store
 	badNotices    *metrics.Counter // of backend servers that could not be read
 	firstEvent    *metrics.Histogram
 	answer        *metrics.Histogram
@@ -29,6 +31,8 @@
 	return &hostMetrics{
 		set:           set,
 		storeReads:    set.NewCounter("mulberrystream_store_reads_total"),
+		historyReads:  set.NewCounter("mulberrystream_history_reads_total"),
+		historyCalls:  set.NewCounter("mulberrystream_history_calls_total"),
 		storeFailures: set.NewCounter("mulberrystream_store_failures_total"),
 		badNotices:    set.NewCounter("mulberrystream_unreadable_notices_total"),
 		firstEvent:    set.NewHistogram("mulberrystream_first_event_seconds"),
