origin: model of hosts, servers and callers without a network

It found that a host that has never seen the earlier process of a restarted server took a note of it for certain: such notes are in doubt now.

--- a/pkg/origin/restarts.go
+++ b/pkg/origin/restarts.go
@@ -44,6 +44,11 @@
 	return false
 }
 
+// seen reports whether a process is known to have been followed by another one.
+func (r restarts) seen(p serverlimit.Process) bool {
+	return slices.ContainsFunc(r[p.ID], func(s restart) bool { return s.old.Process == p })
+}
+
 func (r restarts) prune(now time.Time, span time.Duration) {
 	for id, all := range r {
 		all = slices.DeleteFunc(all, func(s restart) bool { return now.Sub(s.at) > span })
--- a/pkg/origin/versions.go
+++ b/pkg/origin/versions.go
@@ -235,7 +235,18 @@
 // doubtful reports whether a stream may have begun at a later process than the one that it
 // was recorded for, with another version.
 func (v *versions) doubtful(service ident.Route, p serverlimit.Process, version ident.Version, began time.Time) bool {
-	return v.restarts.doubtful(service, p, version, began)
+	if v.restarts.doubtful(service, p, version, began) {
+		return true
+	}
+	s, known := v.servers[p.ID]
+	if !known {
+		r, removed := v.removed[p.ID]
+		s, known = r.Serving, removed
+	}
+	// A host that has never seen the earlier process does not know when the server has
+	// started again.
+	return known && s.Process.StartedAt >= p.StartedAt && (s.Version != version || s.Service != service) &&
+		!v.restarts.seen(p)
 }
 
 // prune forgets what is older than the span.
