--- a/pkg/origin/streams_test.go
+++ b/pkg/origin/streams_test.go
@@ -87,18 +87,6 @@
 	return out
 }
 
-// listedRunning returns the servers that are alive and listed.
-func (w *world) listedRunning() []*worldServer {
-	list := w.listAt(w.now)
-	var out []*worldServer
-	for _, s := range w.running() {
-		if list[s.Process.ID] == s.Serving {
-			out = append(out, s)
-		}
-	}
-	return out
-}
-
 func (w *world) randomHost() *worldHost { return w.hosts[w.rng.IntN(len(w.hosts))] }
 
 // begin starts a stream at a server that a host has listed. If it begins, the caller resumes
