--- a/pkg/relay/notices.go
+++ b/pkg/relay/notices.go
@@ -23,7 +23,7 @@
 // until the first one wants requests again, if all have asked for time.
 func (r *Relay) refuseUntilAccepting(q *request, otherwise time.Duration) {
 	if r.versionGone(q) {
-		r.fail(q, VersionGone, 0)
+		r.failGone(q)
 		return
 	}
 	if wait := r.backends.TimeUntilAccepting(r.now, q.service.Name, answeringStage(q.service)); wait > 0 {
--- a/pkg/relay/origins.go
+++ b/pkg/relay/origins.go
@@ -13,6 +13,9 @@
 const (
 	// historyTimeout bounds the time that a resumed stream waits for the history of the list.
 	historyTimeout = 700 * time.Millisecond
+	// retryAfterGone is the Retry-After of streams of whose version no server is listed.
+	// Entries that expired during an outage of the platform are back two seconds after it.
+	retryAfterGone = 2 * time.Second
 	// historyRetryInterval is the minimum time between two reads of the history.
 	historyRetryInterval = 2 * time.Second
 	// originPeersPerHeartbeat is how often the tracker of origins gets the live hosts, per
@@ -110,7 +113,7 @@
 	q.pin(o.Version)
 	if r.versionGone(q) {
 		r.logOrigin(q, "resume_refused", o, "no server of the version is listed")
-		r.fail(q, VersionGone, 0)
+		r.failGone(q)
 		return
 	}
 	r.logOrigin(q, "resume", o, "pinned to the version")
@@ -132,6 +135,9 @@
 	return q.pinned && !r.backends.ListedVersion(q.service.Name, backends.Decode, q.version, nil)
 }
 
+// failGone ends a request of whose version no server is left.
+func (r *Relay) failGone(q *request) { r.fail(q, VersionGone, r.spread(retryAfterGone)) }
+
 // basisNames are the names of origin.Basis in log lines.
 var basisNames = [...]string{"unknown", "relayed", "told", "only version"}
 
--- a/pkg/relay/origins_test.go
+++ b/pkg/relay/origins_test.go
@@ -162,7 +162,7 @@
 		r := expect[relay.Refuse](h)
 		Expect(r.Reason).To(Equal(relay.VersionGone))
 		Expect(r.Status).To(Equal(503))
-		Expect(r.RetryAfter).To(BeZero())
+		Expect(r.RetryAfter).To(BeNumerically(">=", 2*time.Second), "entries that expired in an outage are back by then")
 	})
 
 	It("are refused at once if no host knows their version", func() {
--- a/pkg/relay/staged.go
+++ b/pkg/relay/staged.go
@@ -60,7 +60,7 @@
 	for _, q := range qu.all() {
 		switch {
 		case r.versionGone(q):
-			r.fail(q, VersionGone, 0)
+			r.failGone(q)
 		case !r.now.Before(q.queueDeadline):
 			r.logRequest(q, "overload", "waited for "+q.waitingFor)
 			r.fail(q, Overloaded, r.overloadRetryAfter(qu))
