origin: servers that may have had another version in a gap of the view

It took the streams recorded in between for certain, as the version was the same before and after. The restart is in doubt now if it was seen after a gap in the view that is longer than an entry is listed.

--- a/pkg/origin/restarts.go
+++ b/pkg/origin/restarts.go
@@ -16,6 +16,7 @@
 	old, new Serving
 	from     time.Time // since when the new process may have been taken for the old one
 	at       time.Time // when this host learned of it
+	unseen   bool      // there may have been others between
 }
 
 // restarts are the restarts of the last time by server.
@@ -33,7 +34,7 @@
 // later process with another version.
 func (r restarts) doubtful(service ident.Route, p serverlimit.Process, version ident.Version, began time.Time) bool {
 	for _, s := range r[p.ID] {
-		if s.new.Version == version && s.new.Service == service {
+		if s.new.Version == version && s.new.Service == service && !s.unseen {
 			continue
 		}
 		earlier := p.StartedAt <= s.new.Process.StartedAt || p.StartedAt == s.old.Process.StartedAt
--- a/pkg/origin/restarts_test.go
+++ b/pkg/origin/restarts_test.go
@@ -45,6 +45,13 @@
 		Expect(version(6, "within")).To(Equal("v1"))
 	})
 
+	It("are unknown if it may have had another version while this host was cut off", func() {
+		t.Confirmed(start, start)
+		begin(1, "within")
+		t.Changed(at(5), serving("s1", 2, "v1"))
+		Expect(version(6, "within")).To(BeEmpty())
+	})
+
 	It("are unknown if its entry expired before", func() {
 		begin(0, "before")
 		begin(1, "within")
--- a/pkg/origin/tracker.go
+++ b/pkg/origin/tracker.go
@@ -66,7 +66,7 @@
 
 // Changed updates one server.
 func (t *Tracker) Changed(now time.Time, s Serving) {
-	added := t.versions.put(now, s)
+	added := t.versions.put(now, t.versions.lastCurrent(now), s)
 	t.versions.updatedAt = now
 	if added {
 		t.tell(now, s.Service)
--- a/pkg/origin/versions.go
+++ b/pkg/origin/versions.go
@@ -22,6 +22,7 @@
 
 	listed        bool
 	completeSince time.Time
+	gapAt         time.Time // when the view was last complete from then on only
 	historyRead   bool      // since the view was last complete from now on
 	updatedAt     time.Time // of the last update or confirmation
 	confirmedAt   time.Time // the view is at least as recent as this; zero if never confirmed
@@ -59,8 +60,9 @@
 	return v.confirmedAt
 }
 
-// put updates a server. It reports whether its version is new in the service.
-func (v *versions) put(now time.Time, s Serving) bool {
+// put updates a server. The view was current at the time last. It reports whether the version
+// is new in the service.
+func (v *versions) put(now, last time.Time, s Serving) bool {
 	id := s.Process.ID
 	old, listed := v.servers[id]
 	if listed && old == s {
@@ -68,9 +70,15 @@
 	}
 	if listed {
 		v.uncount(now, old)
-		v.restarts.add(id, restart{old: old, new: s, from: v.lastCurrent(now).Add(-v.cfg.EntryLag), at: now})
+		v.restarts.add(id, restart{
+			old: old, new: s, from: last.Add(-v.cfg.EntryLag), at: now,
+			unseen: v.isGap(last, now),
+		})
 	} else if r, ok := v.removed[id]; ok && r.Serving != s {
-		v.restarts.add(id, restart{old: r.Serving, new: s, from: r.lastSeen.Add(-v.cfg.EntryLag), at: now})
+		v.restarts.add(id, restart{
+			old: r.Serving, new: s, from: r.lastSeen.Add(-v.cfg.EntryLag), at: now,
+			unseen: v.isGap(last, now) || !v.gapAt.Before(r.at),
+		})
 	}
 	delete(v.removed, id)
 	v.servers[id] = s
@@ -92,21 +100,19 @@
 
 // replace replaces the list. It returns the services that have a new version.
 func (v *versions) replace(now time.Time, servers []Serving) []ident.Route {
-	last := v.updatedAt
-	if !v.confirmedAt.IsZero() {
-		last = v.confirmedAt
+	last := v.lastCurrent(now)
+	if v.confirmedAt.IsZero() && v.listed {
+		last = v.updatedAt
 	}
-	// A server is listed for at least EntryLag, so none can have come and gone unseen in a
-	// shorter gap.
-	if !v.listed || now.Sub(last) > v.cfg.EntryLag {
-		v.completeSince, v.historyRead = now, false
+	if !v.listed || v.isGap(last, now) {
+		v.completeSince, v.historyRead, v.gapAt = now, false, now
 	}
 	v.listed = true
 	present := make(map[ident.BackendID]bool, len(servers))
 	var changed []ident.Route
 	for _, s := range servers {
 		present[s.Process.ID] = true
-		if v.put(now, s) {
+		if v.put(now, last, s) {
 			changed = append(changed, s.Service)
 		}
 	}
@@ -145,7 +151,7 @@
 		others := []Serving{current, v.removed[id].Serving}
 		for _, o := range append(others, servers...) {
 			if o.Process.ID == id && o != s && o.Process.StartedAt >= s.Process.StartedAt {
-				v.restarts.add(id, restart{old: s, new: o, from: from, at: now})
+				v.restarts.add(id, restart{old: s, new: o, from: from, at: now, unseen: reach < v.cfg.span()})
 			}
 		}
 	}
@@ -158,6 +164,10 @@
 	return changed
 }
 
+// isGap reports whether a server may have been listed and removed between two times. A server
+// is listed for at least EntryLag.
+func (v *versions) isGap(from, to time.Time) bool { return to.Sub(from) > v.cfg.EntryLag }
+
 // confirm records that the view is at least as recent as asOf.
 func (v *versions) confirm(now, asOf time.Time) {
 	v.updatedAt = now
