--- /dev/null
+++ b/pkg/origin/asks_test.go
@@ -0,0 +1,195 @@
+package origin_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/origin"
+)
+
+// Guards against a stream that is refused although another host knows its origin, and
+// against going on at a version that was never told.
+var _ = Describe("asks", func() {
+	v1, v2 := serving("s1", 1, "v1"), serving("s2", 1, "v2")
+	var t *origin.Tracker
+	var id uint64
+	ask := func(servers ...origin.Serving) []ident.HostID {
+		t = settled(servers...)
+		t.SetPeers(start, peers(4, "a", "b"))
+		_, pending := t.Resolve(start, stream("r"))
+		Expect(pending).To(BeTrue())
+		var to []ident.HostID
+		for _, m := range t.Take().Messages {
+			to = append(to, m.To)
+			id = m.Message.Asks[0].ID
+		}
+		Expect(to).To(ConsistOf(ident.HostID("h1"), ident.HostID("h2"), ident.HostID("h3")))
+		return to
+	}
+	answer := func(from ident.HostID, a origin.Answer) {
+		a.ID = id
+		t.Receive(at(0.01), from, origin.Message{Answers: []origin.Answer{a}})
+	}
+	told := origin.Answer{Basis: origin.Told, Backend: "s1", StartedAt: 1, Version: "v1", AgeMS: 100}
+	only := func(v ident.Version) origin.Answer { return origin.Answer{Basis: origin.OnlyVersion, Version: v} }
+	outcome := func() any {
+		r := t.Take().Resolved
+		if len(r) == 0 {
+			return "none"
+		}
+		Expect(r).To(HaveLen(1))
+		Expect(r[0].Stream).To(Equal(stream("r")))
+		return string(r[0].Origin.Version)
+	}
+
+	It("end with the first record, which is kept", func() {
+		ask(v1, v2)
+		answer("h2", origin.Answer{})
+		Expect(outcome()).To(Equal("none"))
+		answer("h1", told)
+		Expect(outcome()).To(Equal("v1"))
+		answer("h3", told)
+		Expect(outcome()).To(Equal("none"))
+		o, pending := t.Resolve(at(1), stream("r"))
+		Expect(pending).To(BeFalse())
+		Expect(o.From).To(BeEquivalentTo("h1"))
+		Expect(o.Age).To(Equal(1090 * time.Millisecond))
+	})
+
+	It("are shared by all who resume the stream", func() {
+		ask(v1, v2)
+		_, pending := t.Resolve(at(0.001), stream("r"))
+		Expect(pending).To(BeTrue())
+		Expect(t.Take().Messages).To(BeEmpty())
+	})
+
+	It("end with no origin when all have answered that they know none", func() {
+		for _, h := range ask(v1, v2) {
+			answer(h, origin.Answer{})
+		}
+		Expect(outcome()).To(BeEmpty())
+		Expect(t.Next()).To(BeZero())
+	})
+
+	It("end with no origin when there is no answer in time", func() {
+		ask(v1, v2)
+		Expect(t.Next()).To(Equal(at(0.15)))
+		t.Tick(at(0.15))
+		Expect(outcome()).To(BeEmpty())
+		Expect(t.Next()).To(BeZero())
+	})
+
+	It("end with the only version when none has a record", func() {
+		for _, h := range ask(v1) {
+			Expect(outcome()).To(Equal("none"))
+			answer(h, origin.Answer{})
+		}
+		Expect(outcome()).To(Equal("v1"))
+	})
+
+	It("prefer a record to the only version", func() {
+		ask(v2)
+		answer("h1", told)
+		Expect(outcome()).To(Equal("v1"))
+	})
+
+	It("ignore answers to other asks, from hosts not asked, and repeated ones", func() {
+		ask(v1, v2)
+		t.Receive(start, "h1", origin.Message{Answers: []origin.Answer{{ID: id + 1, Basis: origin.Told, Backend: "s1", Version: "v1"}}})
+		answer("h9", told)
+		for range 3 {
+			answer("h1", origin.Answer{})
+		}
+		Expect(outcome()).To(Equal("none"))
+	})
+
+	It("end with no origin if a host has a record in doubt", func() {
+		ask(v1)
+		answer("h1", origin.Answer{Backend: "s1"})
+		Expect(outcome()).To(BeEmpty())
+	})
+
+	It("believe others that there is one version, unless this host knows of another one", func() {
+		all := func(servers []origin.Serving, versions ...ident.Version) any {
+			to := ask(servers...)
+			t.Listed(start, servers) // after a gap: the view is incomplete
+			for i, h := range to {
+				answer(h, only(versions[i]))
+			}
+			return outcome()
+		}
+		Expect(all(nil, "v1", "v1", "v1")).To(Equal("v1"))
+		Expect(all([]origin.Serving{v1}, "v1", "v1", "v1")).To(Equal("v1"))
+		Expect(all([]origin.Serving{v1}, "v1", "v2", "v1")).To(BeEmpty())
+		Expect(all([]origin.Serving{v2}, "v1", "v1", "v1")).To(BeEmpty())
+		Expect(all([]origin.Serving{v1, v2}, "v1", "v1", "v1")).To(BeEmpty())
+	})
+
+	It("end with no origin if others see another only version", func() {
+		for _, h := range ask(v1) {
+			answer(h, only("v2"))
+		}
+		Expect(outcome()).To(BeEmpty())
+	})
+
+	It("without any answer wait for a confirmed list", func() {
+		ask(v1)
+		t.Confirmed(start, at(-0.5))
+		t.Tick(at(0.15))
+		Expect(outcome()).To(Equal("none"))
+		t.Confirmed(at(0.3), at(-0.1))
+		Expect(outcome()).To(Equal("none"), "the list is older than the call")
+		t.Confirmed(at(0.5), at(0.2))
+		Expect(outcome()).To(Equal("v1"))
+	})
+
+	It("end with no origin if the list is not confirmed either", func() {
+		ask(v1)
+		t.Confirmed(start, at(-0.5))
+		t.Tick(at(0.15))
+		Expect(t.Next()).To(Equal(at(1.15)))
+		t.Tick(at(1.15))
+		Expect(outcome()).To(BeEmpty())
+		Expect(t.Next()).To(BeZero())
+	})
+
+	It("are not sent for streams without a request id", func() {
+		t = settled(v1)
+		t.SetPeers(start, peers(4, "a", "b"))
+		o, pending := t.Resolve(start, stream(""))
+		Expect(pending).To(BeFalse())
+		Expect(o).To(Equal(origin.Origin{Version: "v1", Basis: origin.OnlyVersion, Age: 30 * time.Second}))
+		t.Changed(start, v2)
+		o, _ = t.Resolve(start, stream(""))
+		Expect(o.Known()).To(BeFalse())
+	})
+
+	It("are answered from the record, else with the only version", func() {
+		reply := func(id string) origin.Answer {
+			t.Receive(at(1), "h1", origin.Message{Asks: []origin.Ask{{ID: 5, RequestID: id, Service: service}}})
+			out := t.Take().Messages
+			Expect(out).To(HaveLen(1))
+			Expect(out[0].To).To(BeEquivalentTo("h1"))
+			return out[0].Message.Answers[0]
+		}
+		t = settled(v1)
+		t.Begin(start, stream("r"), v1.Process, "v1")
+		Expect(reply("r")).To(Equal(origin.Answer{ID: 5, Basis: origin.Relayed, Backend: "s1", StartedAt: 1, Version: "v1", AgeMS: 1000}))
+		Expect(reply("q")).To(Equal(origin.Answer{ID: 5, Basis: origin.OnlyVersion, Version: "v1", AgeMS: 31000}))
+		t.Changed(at(1), serving("s1", 2, "v2"))
+		Expect(reply("r")).To(Equal(origin.Answer{ID: 5, Backend: "s1", StartedAt: 1}))
+		Expect(reply("q")).To(Equal(origin.Answer{ID: 5}))
+	})
+
+	It("have ids that differ from those of an earlier process of the host", func() {
+		ask(v1, v2)
+		earlier := id
+		t = origin.New(origin.DefaultConfig("h0", "a"), at(1))
+		t.SetPeers(at(1), peers(2, "a", "b"))
+		t.Resolve(at(1), stream("r"))
+		Expect(t.Take().Messages[0].Message.Asks[0].ID).NotTo(Equal(earlier))
+	})
+})
--- a/pkg/origin/notices.go
+++ b/pkg/origin/notices.go
@@ -13,7 +13,7 @@
 	// Further ones are told, but do not wait.
 	maxNotices = 8192
 	// maxNotes is the number of notes in a message, which has to fit into a datagram.
-	maxNotes = 100
+	maxNotes = 80
 )
 
 // notices are the notes that wait for an acknowledgement.
