origin: tell the streams when the list becomes too old

While one version serves, nobody is told of a stream. When no host could read the platform for longer than StaleAfter, no host could claim that there is one version, and the streams that began before were refused at all hosts but the one that relayed them. They are told to their holders now when the list becomes too old. In the model, all streams resumed in an outage of the platform go on, also after a host is killed. A note that comes while other hosts are asked for its stream ends the wait.

--- a/pkg/origin/asks.go
+++ b/pkg/origin/asks.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -133,7 +132,7 @@
 
 // conclude ends an ask to which no host has answered that it has a record.
 func (t *Tracker) conclude(now time.Time, a *ask) {
-	if r := t.book.get(now, a.stream); r != nil { // a note that came in the meantime
+	if r := t.book.get(now, a.stream); r != nil { // told in the meantime
 		t.resolved(a, t.recorded(now, r))
 		return
 	}
@@ -208,5 +207,3 @@
 func age(ms int64) time.Duration {
 	return time.Duration(min(max(ms, 0), time.Hour.Milliseconds())) * time.Millisecond
 }
-
-func sortedKeys[V any](m map[ident.HostID]V) []ident.HostID { return slices.Sorted(maps.Keys(m)) }
--- a/pkg/origin/model_test.go
+++ b/pkg/origin/model_test.go
@@ -37,6 +37,13 @@
 	}
 }
 
+// cutAll cuts all hosts off from the store.
+func cutAll(w *world) {
+	for _, h := range w.hosts {
+		h.cutUntil = w.now.Add(time.Minute)
+	}
+}
+
 func resumedSince(t *takeup, disturbed time.Time) bool { return !t.at.Before(disturbed) }
 
 // begunBefore counts the streams that began before the disturbance and were resumed when
@@ -117,4 +124,10 @@
 			}
 		}
 	}, func(t *takeup, disturbed time.Time) bool { return resumedSince(t, disturbed) && t.inTouch }, 0.99, 1.0),
+	Entry("one version, no host reads the store", calm, []ident.Version{"v1"}, cutAll, resumedSince, 0.99, 1.0),
+	Entry("one version, no host reads the store and one is killed", calm, []ident.Version{"v1"}, func(w *world) {
+		cutAll(w)
+		w.run(4 * time.Second)
+		w.kill(w.hosts[0], 20*time.Second)
+	}, resumedSince, 0.95, 1.0),
 )
--- a/pkg/origin/notices.go
+++ b/pkg/origin/notices.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -130,6 +131,9 @@
 			basis:   Told,
 			told:    true,
 		})
+		if id, asked := t.asks.byStream[s]; asked {
+			t.conclude(now, t.asks.byID[id])
+		}
 		if n.ID != 0 {
 			acks = append(acks, n.ID)
 		}
@@ -137,23 +141,37 @@
 	return acks
 }
 
-// tellAll tells the holders the origins of the streams of some services.
-func (t *Tracker) tellAll(now time.Time, services []ident.Route) {
-	slices.Sort(services)
-	for _, s := range slices.Compact(services) {
-		t.tell(now, s)
+// tellSeveral tells the holders the origins of the streams of those services that several
+// versions serve. While there was one, nobody was told.
+func (t *Tracker) tellSeveral(now time.Time, services ...ident.Route) {
+	services = slices.DeleteFunc(services, func(s ident.Route) bool {
+		_, n := t.versions.candidates(now, s)
+		return n < 2
+	})
+	if len(services) > 0 {
+		t.tell(now, func(s ident.Route) bool { return slices.Contains(services, s) })
+	}
+}
+
+// tellIfOutdated tells the holders all origins once the view of the versions is too old to
+// show that there is one version alone.
+func (t *Tracker) tellIfOutdated(now time.Time) {
+	outdated := !t.versions.current(now)
+	if outdated && !t.outdated {
+		t.tell(now, func(ident.Route) bool { return true })
 	}
+	t.outdated = outdated
 }
 
-// tell tells the holders of the streams of a service their origins, if several versions
-// can have begun them. While there was one, nobody was told.
-func (t *Tracker) tell(now time.Time, service ident.Route) {
-	if _, n := t.versions.candidates(now, service); n < 2 || t.ranking.count == 0 {
+// tell tells the holders the origins of the streams of some services that they have not been
+// told.
+func (t *Tracker) tell(now time.Time, of func(ident.Route) bool) {
+	if t.ranking.count == 0 {
 		return
 	}
 	batches := map[ident.HostID][]Note{}
 	t.book.each(now, func(r *record) {
-		if r.told || r.stream.Service != service || !t.reliable(r) {
+		if r.told || !of(r.stream.Service) || !t.reliable(r) {
 			return
 		}
 		r.told = true
@@ -162,7 +180,7 @@
 			batches[h] = append(batches[h], n)
 		}
 	})
-	for _, h := range sortedKeys(batches) {
+	for _, h := range slices.Sorted(maps.Keys(batches)) {
 		for batch := range slices.Chunk(batches[h], maxNotes) {
 			t.send(h, Message{Notes: batch})
 		}
--- a/pkg/origin/notices_test.go
+++ b/pkg/origin/notices_test.go
@@ -104,6 +104,24 @@
 		Expect(t.Take().Messages).To(BeEmpty(), "each stream is told once")
 	})
 
+	It("tell the streams once the list is too old to show that there is one version alone", func() {
+		t = settled(v1)
+		t.SetPeers(start, peers(4, "a", "b"))
+		t.Confirmed(start, start)
+		t.Begin(at(1), stream("r"), v1.Process, "v1")
+		Expect(t.Next()).To(Equal(at(3).Add(1)))
+		t.Tick(at(3))
+		Expect(t.Take()).To(BeZero())
+		t.Tick(t.Next())
+		Expect(t.Take().Messages).To(HaveLen(3))
+		Expect(t.Begin(at(4), stream("q"), v1.Process, "v1")).To(BeFalse())
+		t.Take()
+		t.Confirmed(at(5), at(5))
+		Expect(t.Begin(at(6), stream("p"), v1.Process, "v1")).To(BeTrue())
+		t.Tick(at(6))
+		Expect(t.Take().Messages).To(BeEmpty())
+	})
+
 	It("fit into a datagram also if request ids are long", func() {
 		t = settled(v1)
 		t.SetPeers(start, peers(2, "a", "b"))
--- a/pkg/origin/tracker.go
+++ b/pkg/origin/tracker.go
@@ -1,6 +1,8 @@
 package origin
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
@@ -24,8 +26,10 @@
 	lastPeerAt time.Time
 	// lastID is of the last note or ask. It starts with the time, so that a late reply to an
 	// earlier process of this host is not taken for one to this process.
-	lastID   uint64
-	notices  notices
+	lastID  uint64
+	notices notices
+	// outdated is set if the view of the versions is too old, see tellIfOutdated.
+	outdated bool
 	asks     asks
 	prunedAt time.Time
 	out      Outputs
@@ -53,15 +57,13 @@
 		t.lastPeerAt = now
 	}
 	if !had && t.ranking.count > 0 {
-		for service := range t.versions.services {
-			t.tell(now, service)
-		}
+		t.tellSeveral(now, slices.Collect(maps.Keys(t.versions.services))...)
 	}
 }
 
 // Listed replaces the view of the servers by a complete list.
 func (t *Tracker) Listed(now time.Time, servers []Serving) {
-	t.tellAll(now, t.versions.replace(now, servers))
+	t.tellSeveral(now, t.versions.replace(now, servers)...)
 }
 
 // Changed updates one server.
@@ -69,7 +71,7 @@
 	added := t.versions.put(now, t.versions.lastCurrent(now), s)
 	t.versions.updatedAt = now
 	if added {
-		t.tell(now, s.Service)
+		t.tellSeveral(now, s.Service)
 	}
 }
 
@@ -84,6 +86,7 @@
 // no longer updated is taken for current.
 func (t *Tracker) Confirmed(now, asOf time.Time) {
 	t.versions.confirm(now, asOf)
+	t.tellIfOutdated(now)
 	t.confirmAsks(now)
 }
 
@@ -91,7 +94,7 @@
 // history of the list shows. The view of the versions is complete since then. It has no
 // effect on that before the first list; a reach of zero says that there is no history.
 func (t *Tracker) Past(now time.Time, reach time.Duration, servers []Serving) {
-	t.tellAll(now, t.versions.addPast(now, reach, servers))
+	t.tellSeveral(now, t.versions.addPast(now, reach, servers)...)
 }
 
 // NeedsHistory reports whether a history of the list would make the view of a service's
@@ -161,6 +164,7 @@
 func (t *Tracker) Tick(now time.Time) {
 	t.tickNotices(now)
 	t.tickAsks(now)
+	t.tellIfOutdated(now)
 	if now.Sub(t.prunedAt) >= pruneInterval {
 		t.prunedAt = now
 		t.versions.prune(now)
@@ -170,7 +174,11 @@
 
 // Next returns when the next Tick is due; zero if nothing waits.
 func (t *Tracker) Next() time.Time {
-	return earliest(t.notices.next(), t.asks.next())
+	next := earliest(t.notices.next(), t.asks.next())
+	if c := t.versions.confirmedAt; !c.IsZero() && !t.outdated {
+		next = earliest(next, c.Add(t.cfg.StaleAfter+1))
+	}
+	return next
 }
 
 // Take returns the outputs since the last Take.
