relaysoak: releases with two software versions, kills of all hosts, and callers that resume streams

Cause: the soak had one version of the engines' software, so nothing noticed streams that were joined from two.

Change: faults 'release' (half of the engines start again with another version, the others later) and 'hosts-killed'; callers that lose a stream resume it at any host. Checks: no stream holds events of two versions, in one answer or over all answers to its caller; of 12 or more streams that are resumed while two versions serve and nothing else is disturbed, the share that goes on is at least half of the share of new streams that begin. Entries state the real start of a process, as those of the platform do.

--- a/internal/soak/relaysoak/callers.go
+++ b/internal/soak/relaysoak/callers.go
@@ -21,6 +21,10 @@
 	deadlineSlack = 3 * time.Second
 	// disconnectShare is the share of calls whose caller disconnects early.
 	disconnectShare = 0.08
+	// lossShare is that share for streams, which the caller then resumes.
+	lossShare = 0.3
+	// streamEvents is the number of events of a stream.
+	streamEvents = 12
 )
 
 // call is one request of a caller and its result.
@@ -31,6 +35,8 @@
 	duration      time.Duration
 	disconnects   bool   // the caller closes its connection early
 	sentBody      string // empty for one of its own
+	resumes       *call  // that began the stream; nil if this one does
+	after         int    // events that the caller has received before
 	status        int
 	header        http.Header
 	body          string
@@ -52,6 +58,12 @@
 		x.mu.Lock()
 		x.calls = append(x.calls, c)
 		x.mu.Unlock()
+		if c.broken() {
+			again := x.resume(client, c)
+			x.mu.Lock()
+			x.calls = append(x.calls, again...)
+			x.mu.Unlock()
+		}
 		if c.status != http.StatusOK {
 			time.Sleep(20 * time.Millisecond)
 		}
@@ -89,8 +101,12 @@
 	defer x.mu.Unlock()
 	kind := []string{"verdict", "summary", "post", "read", "open"}[x.rng.IntN(5)]
 	id := fmt.Sprintf("%d-%d-%d", x.seed, number, n)
+	share := disconnectShare
+	if kind == "summary" {
+		share = lossShare
+	}
 	return &call{
-		id: id, key: key, disconnects: x.rng.Float64() < disconnectShare,
+		id: id, key: key, disconnects: x.rng.Float64() < share,
 		path: fmt.Sprintf("/%s/%s", kind, id),
 	}
 }
@@ -123,7 +139,11 @@
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	req.Header.Set("Authorization", "Bearer "+c.key)
 	req.Header.Set("X-Model", "m")
-	if strings.HasPrefix(c.path, "/verdict") || strings.HasPrefix(c.path, "/summary") {
+	if c.resumes != nil {
+		req.Header.Set("Last-Event-Id", fmt.Sprint(c.after))
+		req.Header.Set("Resumes", c.resumes.id)
+	}
+	if c.isStream() {
 		req.Header.Set("X-Token-Usage", "5000,200")
 	}
 	c.sent = time.Now()
@@ -139,12 +159,22 @@
 	c.body, c.err = string(text), err
 }
 
+// isStream reports whether the answer is a stream.
+func (c *call) isStream() bool {
+	return strings.HasPrefix(c.path, "/verdict") || strings.HasPrefix(c.path, "/summary")
+}
+
 // complete reports whether a successful call got the complete answer to its own request.
 func (c *call) complete() bool {
-	if strings.HasPrefix(c.path, "/verdict") || strings.HasPrefix(c.path, "/summary") {
+	if c.isStream() {
+		parts := c.parts()
+		if len(parts) == 0 {
+			// An engine ends a stream without events if the caller has received all.
+			return c.after == streamEvents && c.body == ""
+		}
 		var want strings.Builder
-		for i := range 12 {
-			want.WriteString(platformtest.Event(i+1, c.id))
+		for i := c.after; i < streamEvents; i++ {
+			want.WriteString(platformtest.EventOf(parts[0].Version, i+1, c.id))
 		}
 		return c.body == want.String()
 	}
--- a/internal/soak/relaysoak/check.go
+++ b/internal/soak/relaysoak/check.go
@@ -40,6 +40,7 @@
 		x.checkLimit(s, byID, fail)
 	}
 	x.checkCrashes(byID, fail)
+	x.checkVersions(fail)
 	return violations
 }
 
--- a/internal/soak/relaysoak/faults.go
+++ b/internal/soak/relaysoak/faults.go
@@ -35,14 +35,16 @@
 		{"server-cut-midway", serverFaults(faultproxy.Faults{CutWithin: 900})},
 		{"server-connections-silent", silenceServer},
 		{"server-full", serverBehaviour(platformtest.Behaviour{Full: true})},
-		{"server-fails", serverBehaviour(platformtest.Behaviour{Fail: true, LostCache: true, Events: 12})},
-		{"server-loses-answers", serverBehaviour(platformtest.Behaviour{ResetAfterRun: true, CutAfter: 3, Events: 12})},
-		{"server-garbles", serverBehaviour(platformtest.Behaviour{WrongID: true, Events: 12})},
+		{"server-fails", serverBehaviour(platformtest.Behaviour{Fail: true, LostCache: true, Events: streamEvents})},
+		{"server-loses-answers", serverBehaviour(platformtest.Behaviour{ResetAfterRun: true, CutAfter: 3, Events: streamEvents})},
+		{"server-garbles", serverBehaviour(platformtest.Behaviour{WrongID: true, Events: streamEvents})},
 		{"server-leaves", drainServer},
 		{"server-announces-leaving", announceLeaving},
 		{"server-names-limit", nameLimit},
 		{"request-crashes-servers", crashServers},
-		{"server-asks-for-time", serverBehaviour(platformtest.Behaviour{RetryAfter: "1.5", Events: 12})},
+		{releaseFault, releaseEngines},
+		{"hosts-killed", killHosts},
+		{"server-asks-for-time", serverBehaviour(platformtest.Behaviour{RetryAfter: "1.5", Events: streamEvents})},
 	}
 }
 
@@ -211,7 +213,7 @@
 		return injectAt(x, x.d.servers, func(s *server) func() error {
 			s.SetBehaviour(b)
 			return func() error {
-				s.SetBehaviour(platformtest.Behaviour{Events: 12, Gap: 25 * time.Millisecond, Delay: 10 * time.Millisecond})
+				s.SetBehaviour(platformtest.Behaviour{Events: streamEvents, Gap: 25 * time.Millisecond, Delay: 10 * time.Millisecond})
 				return nil
 			}
 		})
@@ -223,7 +225,7 @@
 func announceLeaving(x *run) func() error {
 	return injectAt(x, x.d.servers, func(s *server) func() error {
 		all := func(*http.Request) bool { return true }
-		b := platformtest.Behaviour{Events: 12, Gap: 25 * time.Millisecond, Delay: 10 * time.Millisecond}
+		b := platformtest.Behaviour{Events: streamEvents, Gap: 25 * time.Millisecond, Delay: 10 * time.Millisecond}
 		announcing := b
 		announcing.Leaving = all
 		s.SetBehaviour(announcing)
@@ -246,7 +248,7 @@
 // rule longer.
 func nameLimit(x *run) func() error {
 	return injectAt(x, x.d.servers, func(s *server) func() error {
-		b := platformtest.Behaviour{Events: 12, Gap: 25 * time.Millisecond, Delay: 10 * time.Millisecond}
+		b := platformtest.Behaviour{Events: streamEvents, Gap: 25 * time.Millisecond, Delay: 10 * time.Millisecond}
 		limited := b
 		limited.Limit = fmt.Sprint(serverLimit)
 		s.SetBehaviour(limited)
--- a/internal/soak/relaysoak/fleet.go
+++ b/internal/soak/relaysoak/fleet.go
@@ -37,6 +37,7 @@
 	proxy *faultproxy.Proxy
 
 	mu        sync.Mutex
+	started   time.Time
 	restarts  []time.Time // starts of new processes
 	silenceAt time.Time   // when its connections went silent, so that answers are lost
 }
@@ -109,9 +110,9 @@
 	if err != nil {
 		return fmt.Errorf("relaysoak: %w", err)
 	}
-	sv := &server{Server: s, zone: zone, proxy: p}
+	sv := &server{Server: s, zone: zone, proxy: p, started: time.Now()}
 	s.OnCrash(p.RefuseFor)
-	s.SetBehaviour(platformtest.Behaviour{Events: 12, Gap: 25 * time.Millisecond, Delay: 10 * time.Millisecond})
+	s.SetBehaviour(platformtest.Behaviour{Events: streamEvents, Gap: 25 * time.Millisecond, Delay: 10 * time.Millisecond})
 	d.servers = append(d.servers, sv)
 	return d.publishServer(sv, "ready")
 }
@@ -121,7 +122,10 @@
 	entry := s.Entry(s.zone, state)
 	entry["address"] = s.proxy.Addr()
 	s.mu.Lock()
-	entry["born"] = 1 + len(s.restarts)
+	entry["born"] = s.started.UnixMilli()
+	if n := len(s.restarts); n > 0 {
+		entry["born"] = s.restarts[n-1].UnixMilli()
+	}
 	s.mu.Unlock()
 	return d.store.Put("servers/"+s.ID, entry)
 }
--- a/internal/soak/relaysoak/notices.go
+++ b/internal/soak/relaysoak/notices.go
@@ -42,6 +42,7 @@
 	waitRule    rule = "wait"
 	limitRule   rule = "limit"
 	crashRule   rule = "crash"
+	versionRule rule = "version"
 )
 
 // binds reports whether a host keeps a rule: its program is the current one, or OLD_LACKS,
--- a/internal/soak/relaysoak/run.go
+++ b/internal/soak/relaysoak/run.go
@@ -29,11 +29,17 @@
 	disturbed map[string][]period
 	// crashRequests is the number of requests so far that crash servers.
 	crashRequests int
+	// versions is the number of releases so far.
+	versions int
+	// mixed are the times in which two versions served, and others those of other faults.
+	mixed, others []period
 	log           []string // the faults with their times
 
 	started time.Time
 	revoked time.Time // when the old key was withdrawn
 	calls   []*call
+	// resumed and wentOn count the streams for which checkResumed holds.
+	resumed, wentOn int
 }
 
 // outcome is the result of a run.
@@ -41,6 +47,8 @@
 	seed       uint64
 	calls      int
 	served     int
+	resumed    int // streams that were resumed while two versions served and nothing else happened
+	wentOn     int // of these
 	faults     []string
 	violations []string
 	harnessErr error // failure to inject or repair faults
@@ -59,6 +67,7 @@
 	close(stop)
 	wg.Wait()
 	o := outcome{seed: seed, calls: len(x.calls), faults: x.log, violations: x.check(), harnessErr: err}
+	o.resumed, o.wentOn = x.resumed, x.wentOn
 	for _, c := range x.calls {
 		if c.status == 200 && c.err == nil {
 			o.served++
@@ -85,9 +94,11 @@
 		}
 		f, lasts, pause := x.nextFault(only)
 		x.logFault(f.name, lasts)
+		begin := time.Now()
 		repair := f.inject(x)
 		wg.Go(func() {
 			time.Sleep(lasts)
+			defer x.faultEnded(f.name, begin)
 			if err := repair(); err != nil {
 				mu.Lock()
 				failed = errors.Join(failed, fmt.Errorf("repair of %s: %w", f.name, err))
@@ -119,6 +130,16 @@
 	x.log = append(x.log, fmt.Sprintf("%.1fs %s for %.1fs", time.Since(x.started).Seconds(), name, lasts.Seconds()))
 }
 
+// faultEnded records the time of a fault.
+func (x *run) faultEnded(name string, begin time.Time) {
+	if name == releaseFault {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.others = append(x.others, period{begin, time.Now()})
+}
+
 // revoke withdraws the organisation's key and configures a new one.
 func (x *run) revoke() error {
 	err := x.d.configure(newKey)
--- a/internal/soak/relaysoak/soak_test.go
+++ b/internal/soak/relaysoak/soak_test.go
@@ -24,6 +24,9 @@
 // withdrawal.
 const runLength = 16 * time.Second
 
+// releaseLength covers some releases.
+const releaseLength = 10 * time.Second
+
 // regressions lists seeds that have failed before, with the cause.
 var regressions = []struct {
 	seed  uint64
@@ -54,17 +57,19 @@
 	return only
 }
 
-func runSeed(seed uint64, s shape, length time.Duration, only []fault) {
+func runSeed(seed uint64, s shape, length time.Duration, only []fault) outcome {
 	GinkgoHelper()
 	d, err := start(GinkgoT().TempDir(), s, seed)
 	Expect(err).NotTo(HaveOccurred())
 	defer d.close()
 	o := execute(d, seed, length, only)
-	fmt.Printf("seed %d: %d of %d calls served, %d faults, %d violations\n", o.seed, o.served, o.calls, len(o.faults), len(o.violations))
+	fmt.Printf("seed %d: %d of %d calls served, %d of %d resumed streams went on, %d faults, %d violations\n",
+		o.seed, o.served, o.calls, o.wentOn, o.resumed, len(o.faults), len(o.violations))
 	saveLogs(d, o)
 	Expect(o.harnessErr).NotTo(HaveOccurred())
 	Expect(o.violations).To(BeEmpty(), "make relay-soak SEED=%d RUNS=1\n%s", seed, strings.Join(o.faults, "\n"))
 	Expect(o.served).To(BeNumerically(">", o.calls/4), "too few calls were served for a meaningful check")
+	return o
 }
 
 // saveLogs copies the logs of a failed run to SOAK_OUT.
@@ -90,6 +95,18 @@
 		}
 	})
 
+	// Guards against streams that are joined from two versions of an engine's software, and
+	// against hosts that refuse to continue them.
+	It("keep streams at one software version through releases, and when all hosts are killed", func() {
+		release, err := faultByName(releaseFault)
+		Expect(err).NotTo(HaveOccurred())
+		kill, err := faultByName("hosts-killed")
+		Expect(err).NotTo(HaveOccurred())
+		o := runSeed(1, small, releaseLength, []fault{release})
+		Expect(o.wentOn).To(BeNumerically(">", 0), "no stream was resumed, or none went on")
+		runSeed(2, small, releaseLength, []fault{release, kill})
+	})
+
 	It("keep the guarantees under seeds that have failed before", func() {
 		if len(regressions) == 0 {
 			Skip("no seed is listed as a regression")
@@ -149,4 +166,42 @@
 		Entry("another path", func(*call) {}, time.Time{}, execution1(func(e *execution) { e.URI = "/post/2" })),
 		Entry("a withdrawn key", func(*call) {}, time.Unix(90, 0), good),
 	)
+
+	// Guards against a check that misses joined streams.
+	It("detect a stream of two versions, in one answer and over several", func() {
+		stream := func(id string, resumes *call, after int, versions ...string) *call {
+			c := &call{id: id, path: "/summary/" + id, status: 200, resumes: resumes, after: after}
+			for i, v := range versions {
+				c.body += platformtest.EventOf(v, after+i+1, id)
+			}
+			return c
+		}
+		find := func(calls ...*call) []string {
+			x := &run{d: &deployment{}, calls: calls}
+			var found []string
+			x.checkVersions(func(_ *call, format string, args ...any) { found = append(found, fmt.Sprintf(format, args...)) })
+			return found
+		}
+		first := stream("1", nil, 0, "v1", "v1")
+		Expect(find(first, stream("1-again-0", first, 2, "v1"))).To(BeEmpty())
+		Expect(find(first, stream("1-again-0", first, 2, "v2"))).To(HaveLen(1))
+		Expect(find(stream("1", nil, 0, "v1", "v2"))).To(HaveLen(1))
+	})
+
+	It("detect that hosts refuse streams that they could resume", func() {
+		start := time.Unix(100, 0)
+		x := &run{d: &deployment{}, mixed: []period{{start, start.Add(time.Minute)}}}
+		for i := range resumedStreams {
+			first := &call{id: fmt.Sprint(i), path: "/summary/1", status: 200, sent: start, body: platformtest.Event(1, "1")}
+			again := &call{id: fmt.Sprint(i, "-again"), path: "/summary/1", status: 503, sent: start.Add(time.Second), resumes: first, after: 1}
+			x.calls = append(x.calls, first, again)
+		}
+		found := 0
+		count := func(*call, string, ...any) { found++ }
+		x.checkVersions(count)
+		Expect(found).To(Equal(1))
+		found, x.others = 0, []period{{start, start.Add(time.Millisecond)}}
+		x.checkVersions(count)
+		Expect(found).To(BeZero(), "another fault explains the refusals")
+	})
 })
