--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -6,6 +6,7 @@
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
 	"github.com/mulberrystream/mulberrystream/pkg/catalog"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/origin"
 	"github.com/mulberrystream/mulberrystream/pkg/quarantine"
 	"github.com/mulberrystream/mulberrystream/pkg/quota"
 	"github.com/mulberrystream/mulberrystream/pkg/roster"
@@ -29,8 +30,11 @@
 	OutputHint      int64 // the caller's estimate of the output tokens; 0 if not stated
 	// SharedParts are the parts of the prompt that other requests may have too.
 	SharedParts []ident.PromptPart
-	Resumes     bool              // continues a stream after the last event that the caller received
-	Content     ident.ContentHash // see ident.HashContent
+	Resumes     bool // continues a stream after the last event that the caller received
+	// ResumesRequest is the RequestID of the request that received the first event of the
+	// stream; empty if the caller does not name it.
+	ResumesRequest string
+	Content        ident.ContentHash // see ident.HashContent
 }
 
 // Outcome classifies the end of a call to a backend server.
@@ -214,6 +218,9 @@
 	Limits      []serverlimit.Note   `cbor:"14,keyasint,omitempty"`
 	Asks        []serverlimit.Ask    `cbor:"15,keyasint,omitempty"` // for permits, to a coordinator
 	Answers     []serverlimit.Answer `cbor:"16,keyasint,omitempty"` // of a coordinator
+	Origins     *origin.Message      `cbor:"17,keyasint,omitempty"`
+	// KeepsOrigins says that the sender's program keeps the origins of streams.
+	KeepsOrigins bool `cbor:"18,keyasint,omitempty"`
 }
 
 // UnreachableNote names a backend server that the sender failed to reach.
