--- a/pkg/relay/origins.go
+++ b/pkg/relay/origins.go
@@ -149,14 +149,15 @@
 	r.log(d)
 }
 
-// firstEvent records the origin of a stream before its first event is relayed.
+// firstEvent records the origin of a stream before its first event is relayed, unless
+// callers cannot resume it.
 func (r *Relay) firstEvent(e FirstEvent) {
 	q := r.lookup(e.ID, e.Attempt, decoding)
 	if q == nil {
 		return
 	}
 	s := q.stream()
-	if q.spec.Resumes || r.origins.Begin(r.now, s, q.target.Process(), q.target.Version) {
+	if q.spec.Resumes || !q.route.Resumable || r.origins.Begin(r.now, s, q.target.Process(), q.target.Version) {
 		r.emit(RelayStream(e))
 		return
 	}
--- a/pkg/relay/origins_fleet_test.go
+++ b/pkg/relay/origins_fleet_test.go
@@ -155,6 +155,20 @@
 		Expect(f.messages).To(BeZero())
 	})
 
+	It("send nothing and do not wait for streams that callers cannot resume", func() {
+		f := newOriginFleet(3, "v1", "v2")
+		f.messages = 0
+		h := f.hosts[0]
+		h.submitModel("/verdict/")
+		r := expect[relay.Reserve](h)
+		h.step(relay.Reserved{ID: r.ID, Attempt: r.Attempt.Attempt, Outcome: relay.Succeeded, Hold: "hold"})
+		d := expect[relay.Decode](h)
+		h.step(relay.FirstEvent{ID: d.ID, Attempt: d.Attempt.Attempt})
+		expect[relay.RelayStream](h)
+		f.deliver(h)
+		Expect(f.messages).To(BeZero())
+	})
+
 	// Guards against streams that wait for hosts with an older program.
 	It("tell nothing to hosts whose program keeps no origins", func() {
 		f := newOriginFleet(3, "v1", "v2")
--- a/pkg/relay/staged.go
+++ b/pkg/relay/staged.go
@@ -57,14 +57,19 @@
 }
 
 func (r *Relay) serveQueue(service ident.Route, qu *queue) {
-	for _, q := range qu.all() {
-		switch {
-		case r.versionGone(q):
+	var ended []*request
+	qu.each(func(q *request) {
+		if !r.now.Before(q.queueDeadline) || r.versionGone(q) {
+			ended = append(ended, q)
+		}
+	})
+	for _, q := range ended {
+		if r.versionGone(q) {
 			r.failGone(q)
-		case !r.now.Before(q.queueDeadline):
-			r.logRequest(q, "overload", "waited for "+q.waitingFor)
-			r.fail(q, Overloaded, r.overloadRetryAfter(qu))
+			continue
 		}
+		r.logRequest(q, "overload", "waited for "+q.waitingFor)
+		r.fail(q, Overloaded, r.overloadRetryAfter(qu))
 	}
 	r.refuseQueued(service, qu)
 	r.refuseUnpermitted(service, qu)
