--- a/pkg/origin/notices_test.go
+++ b/pkg/origin/notices_test.go
@@ -115,6 +115,7 @@
 		t.Tick(t.Next())
 		Expect(t.Take().Messages).To(HaveLen(3))
 		Expect(t.Begin(at(4), stream("q"), v1.Process, "v1")).To(BeFalse())
+		t.Tick(at(4.04))
 		t.Take()
 		t.Confirmed(at(5), at(5))
 		Expect(t.Begin(at(6), stream("p"), v1.Process, "v1")).To(BeTrue())
