--- a/pkg/follow/mirror_test.go
+++ b/pkg/follow/mirror_test.go
@@ -37,6 +37,18 @@
 		Expect(err).To(MatchError(follow.ErrNotReady))
 	})
 
+	It("passes its copy with the position of the store, once it has one", func() {
+		_, _, ok := m.Copy()
+		Expect(ok).To(BeFalse())
+		m.Replace([]follow.Item{item("a", 2), item("b", 3)}, follow.Position{Era: 1, Revision: 3})
+		m.Change([]follow.Item{{Key: "a", Revision: 4, Removed: true}})
+		m.Contact(now, follow.Position{Era: 1, Revision: 4})
+		items, at, ok := m.Copy()
+		Expect(ok).To(BeTrue())
+		Expect(items).To(Equal([]follow.Item{item("b", 3)}))
+		Expect(at).To(Equal(follow.Position{Era: 1, Revision: 4}))
+	})
+
 	It("keeps serving its copy, with its age, when a read fails, and is not ready once reads have failed for a second", func() {
 		m.Replace(nil, follow.Position{Revision: 3})
 		m.Contact(now, follow.Position{Revision: 3})
