origin: restored stores and late resumptions in the model

A store that was restored from an older copy may list the earlier process of an id again for a while: streams recorded for it then are in doubt. Callers resume also as late as a stream lives, which shows whether Linger counts.

--- a/pkg/origin/chaos_test.go
+++ b/pkg/origin/chaos_test.go
@@ -18,6 +18,7 @@
 	w.loss = []float64{0, 0.05, 0.5}[w.rng.IntN(3)]
 	w.late = []float64{0, 0.1}[w.rng.IntN(2)]
 	w.viewLag = []time.Duration{0, 300 * time.Millisecond, 2 * time.Second}[w.rng.IntN(3)]
+	w.resumeAfter = []time.Duration{1500 * time.Millisecond, 12 * time.Second}[w.rng.IntN(2)]
 	w.history = []time.Duration{0, 10 * time.Second, 20 * time.Second}[w.rng.IntN(3)]
 }
 
@@ -31,7 +32,7 @@
 	}
 	server := running[w.rng.IntN(len(running))]
 	host := w.randomHost()
-	switch w.rng.IntN(12) {
+	switch w.rng.IntN(13) {
 	case 0:
 		w.addServer(version())
 	case 1:
@@ -71,6 +72,8 @@
 	case 11:
 		w.floor = w.now
 		w.note("the store discards its history")
+	case 12:
+		w.restoreStore(w.upTo(2 * time.Second))
 	}
 }
 
--- a/pkg/origin/model_test.go
+++ b/pkg/origin/model_test.go
@@ -10,7 +10,7 @@
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 )
 
-var calm = conditions{hosts: 8, domains: 3, delay: 5 * time.Millisecond, history: 20 * time.Second, rate: 40, breaks: 0.3}
+var calm = conditions{hosts: 8, domains: 3, delay: 5 * time.Millisecond, history: 20 * time.Second, rate: 40, breaks: 0.3, resumeAfter: 1500 * time.Millisecond}
 
 // warm is how long a fleet runs before anything happens: its views are complete then.
 const warm = 22 * time.Second
@@ -72,7 +72,7 @@
 				disturb(w)
 			}
 			since := w.now
-			w.run(10 * time.Second)
+			w.run(10*time.Second + c.resumeAfter)
 			expectNoneJoined(w, seed)
 			share, n := w.share(func(t *takeup) bool { return counted(t, since) })
 			GinkgoWriter.Printf("seed %d: %d resumed, %.0f %% went on\n", seed, n, 100*share)
@@ -130,4 +130,16 @@
 		w.run(4 * time.Second)
 		w.kill(w.hosts[0], 20*time.Second)
 	}, resumedSince, 0.95, 1.0),
+	Entry("the first version leaves unseen by all hosts but one, and these are killed",
+		with(func(c *conditions) { c.resumeAfter = 14 * time.Second }), []ident.Version{"v1", "v2"}, func(w *world) {
+			for _, h := range w.hosts[1:] {
+				h.cutUntil = w.now.Add(w.cfg.Linger)
+			}
+			w.removeServer(w.servers["s1"])
+			w.removeServer(w.servers["s2"])
+			w.run(w.cfg.Linger)
+			for _, h := range w.hosts[1:] {
+				w.kill(h, 500*time.Millisecond)
+			}
+		}, resumedSince, 0.0, 1.0),
 )
--- a/pkg/origin/restarts_test.go
+++ b/pkg/origin/restarts_test.go
@@ -52,6 +52,13 @@
 		Expect(version(6, "within")).To(BeEmpty())
 	})
 
+	It("are unknown if a restored store lists the earlier process again", func() {
+		t = settled(serving("s1", 2, "v2"), other)
+		t.Changed(at(5), old)
+		begin(6, "r")
+		Expect(version(6, "r")).To(BeEmpty())
+	})
+
 	It("are unknown if its entry expired before", func() {
 		begin(0, "before")
 		begin(1, "within")
--- a/pkg/origin/streams_test.go
+++ b/pkg/origin/streams_test.go
@@ -76,6 +76,42 @@
 	})
 }
 
+// restoreStore puts an older copy of the list in force. Servers that it does not have as they
+// are register again, and entries without a server expire.
+func (w *world) restoreStore(age time.Duration) {
+	w.note("the store is restored from a copy of %s ago", age)
+	list, older := w.listAt(w.now), w.listAt(w.now.Add(-age))
+	for _, s := range sortedList(list) {
+		if _, ok := older[s.Process.ID]; !ok {
+			w.write(change{id: s.Process.ID, removed: true})
+		}
+	}
+	for _, s := range sortedList(older) {
+		if list[s.Process.ID] != s {
+			w.write(change{id: s.Process.ID, s: s})
+		}
+	}
+	w.floor = w.now
+	for _, h := range w.hosts {
+		h.readFailed = true
+	}
+	for _, s := range sortedList(list) {
+		w.after(w.upTo(2*time.Second), func() {
+			if server := w.servers[s.Process.ID]; server.alive && server.Serving == s && w.listAt(w.now)[s.Process.ID] != s {
+				w.write(change{id: s.Process.ID, s: s})
+			}
+		})
+	}
+	for _, s := range sortedList(older) {
+		w.after(w.cfg.EntryLag, func() {
+			server := w.servers[s.Process.ID]
+			if (!server.alive || server.Serving != s) && w.listAt(w.now)[s.Process.ID] == s {
+				w.write(change{id: s.Process.ID, removed: true})
+			}
+		})
+	}
+}
+
 // running returns the servers that are alive, in the order of their ids.
 func (w *world) running() []*worldServer {
 	var out []*worldServer
@@ -131,7 +167,7 @@
 		broken := from.tracker == nil || from.incarnation != n || !server.alive || server.Serving != truth
 		switch {
 		case broken || alone && w.rng.IntN(6) == 0:
-			w.after(w.upTo(1500*time.Millisecond), func() { w.takeUp(from, s, believed, truth, began) })
+			w.after(w.upTo(w.resumeAfter), func() { w.takeUp(from, s, believed, truth, began) })
 		case w.now.Add(checkInterval).Before(end):
 			w.after(w.upTo(checkInterval), check)
 		}
--- a/pkg/origin/versions.go
+++ b/pkg/origin/versions.go
@@ -70,15 +70,10 @@
 	}
 	if listed {
 		v.uncount(now, old)
-		v.restarts.add(id, restart{
-			old: old, new: s, from: last.Add(-v.cfg.EntryLag), at: now,
-			unseen: v.isGap(last, now),
-		})
+		v.restarted(now, last, restart{old: old, new: s, from: last.Add(-v.cfg.EntryLag), unseen: v.isGap(last, now)})
 	} else if r, ok := v.removed[id]; ok && r.Serving != s {
-		v.restarts.add(id, restart{
-			old: r.Serving, new: s, from: r.lastSeen.Add(-v.cfg.EntryLag), at: now,
-			unseen: v.isGap(last, now) || !v.gapAt.Before(r.at),
-		})
+		unseen := v.isGap(last, now) || !v.gapAt.Before(r.at)
+		v.restarted(now, last, restart{old: r.Serving, new: s, from: r.lastSeen.Add(-v.cfg.EntryLag), unseen: unseen})
 	}
 	delete(v.removed, id)
 	v.servers[id] = s
@@ -87,6 +82,18 @@
 	return added
 }
 
+// restarted records that the process of an id has changed.
+func (v *versions) restarted(now, last time.Time, r restart) {
+	r.at = now
+	id := r.new.Process.ID
+	v.restarts.add(id, r)
+	// A store that was restored from an older copy lists the earlier process again.
+	if r.new.Process.StartedAt < r.old.Process.StartedAt {
+		r.old, r.new, r.from = r.new, r.old, last.Add(-v.cfg.EntryLag)
+		v.restarts.add(id, r)
+	}
+}
+
 // remove removes a server.
 func (v *versions) remove(now time.Time, id ident.BackendID) {
 	s, ok := v.servers[id]
--- a/pkg/origin/world_test.go
+++ b/pkg/origin/world_test.go
@@ -22,6 +22,7 @@
 	history        time.Duration // that the store keeps
 	rate           float64       // streams per second
 	breaks         float64       // share of the streams that break off by themselves
+	resumeAfter    time.Duration // callers resume a broken stream after up to this
 }
 
 const (
