relaysoak: servers that repeat answers, and reservations that are used twice

Two faults: a server sends half of its answers once more when the next request on the connection has arrived (requests, reservations, refusals), and the same with lost KV caches, so that decode requests are refused and sent again with their id. A new check finds reservations that two requests use.

--- a/internal/soak/relaysoak/check.go
+++ b/internal/soak/relaysoak/check.go
@@ -38,6 +38,7 @@
 		x.checkLeaving(s, byID, fail)
 		x.checkWaits(s, byID, fail)
 		x.checkLimit(s, byID, fail)
+		checkReservations(s.ID, s.Runs(), byID, fail)
 	}
 	x.checkCrashes(byID, fail)
 	return violations
@@ -78,6 +79,22 @@
 	}
 }
 
+// checkReservations checks that no reservation at a server is used by two of its runs.
+func checkReservations(server string, runs []platformtest.Run, byID map[string]*call, fail func(*call, string, ...any)) {
+	users := map[string]string{}
+	for _, r := range runs {
+		hold := r.Header.Get("X-Kv-Hold")
+		c := byID[r.RequestID]
+		if hold == "" || c == nil {
+			continue
+		}
+		if user, used := users[hold]; used {
+			fail(c, "used reservation %s at %s after %s", hold, server, user)
+		}
+		users[hold] = r.RequestID
+	}
+}
+
 func (x *run) checkRun(c *call, r execution, fail func(*call, string, ...any)) {
 	open := strings.HasPrefix(c.path, "/open")
 	if r.Header.Get("Authorization") != "" {
--- a/internal/soak/relaysoak/faults.go
+++ b/internal/soak/relaysoak/faults.go
@@ -38,6 +38,8 @@
 		{"server-fails", serverBehaviour(platformtest.Behaviour{Fail: true, LostCache: true, Events: 12})},
 		{"server-loses-answers", serverBehaviour(platformtest.Behaviour{ResetAfterRun: true, CutAfter: 3, Events: 12})},
 		{"server-garbles", serverBehaviour(platformtest.Behaviour{WrongID: true, Events: 12})},
+		{"server-repeats-answers", repeatAnswers(platformtest.Behaviour{})},
+		{"server-repeats-refusals", repeatAnswers(platformtest.Behaviour{LostCache: true})},
 		{"server-leaves", drainServer},
 		{"server-announces-leaving", announceLeaving},
 		{"server-names-limit", nameLimit},
@@ -218,6 +220,25 @@
 	}
 }
 
+// repeatAnswers lets a server send half of its answers a second time, when the next request
+// on the connection has arrived: answers to requests, refusals and reservations.
+func repeatAnswers(b platformtest.Behaviour) func(x *run) func() error {
+	b.Events, b.Gap, b.Delay = 12, 25*time.Millisecond, 10*time.Millisecond
+	return func(x *run) func() error {
+		var mu sync.Mutex
+		x.mu.Lock()
+		rng := rand.New(rand.NewPCG(x.rng.Uint64(), 31))
+		x.mu.Unlock()
+		repeating := b
+		repeating.Repeat = func(*http.Request, int) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return rng.IntN(2) == 0
+		}
+		return serverBehaviour(repeating)(x)
+	}
+}
+
 // announceLeaving lets a server announce in its answers that it leaves, while the store has
 // it as ready. The repair starts a new process under the same id and address.
 func announceLeaving(x *run) func() error {
--- a/internal/soak/relaysoak/soak_test.go
+++ b/internal/soak/relaysoak/soak_test.go
@@ -149,4 +149,15 @@
 		Entry("another path", func(*call) {}, time.Time{}, execution1(func(e *execution) { e.URI = "/post/2" })),
 		Entry("a withdrawn key", func(*call) {}, time.Unix(90, 0), good),
 	)
+
+	It("detect a reservation that two requests use", func() {
+		uses := func(id, hold string) platformtest.Run {
+			return platformtest.Run{RequestID: id, Header: http.Header{"X-Kv-Hold": {hold}}}
+		}
+		byID := map[string]*call{"1": {id: "1"}, "2": {id: "2"}, "3": {id: "3"}}
+		var found []string
+		fail := func(c *call, _ string, _ ...any) { found = append(found, c.id) }
+		checkReservations("d1", []platformtest.Run{uses("1", "a"), uses("2", "b"), uses("3", "a")}, byID, fail)
+		Expect(found).To(Equal([]string{"3"}))
+	})
 })
