--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -16,23 +16,25 @@
 
 // hostMetrics holds the counters and histograms of a host.
 type hostMetrics struct {
-	set           *metrics.Set
-	storeReads    *metrics.Counter
-	storeFailures *metrics.Counter
-	badNotices    *metrics.Counter // of backend servers that could not be read
-	firstEvent    *metrics.Histogram
-	answer        *metrics.Histogram
+	set            *metrics.Set
+	storeReads     *metrics.Counter
+	storeFailures  *metrics.Counter
+	badNotices     *metrics.Counter // of backend servers that could not be read
+	invalidEntries *metrics.Counter // of backend servers
+	firstEvent     *metrics.Histogram
+	answer         *metrics.Histogram
 }
 
 func newHostMetrics() *hostMetrics {
 	set := metrics.NewSet()
 	return &hostMetrics{
-		set:           set,
-		storeReads:    set.NewCounter("mulberrystream_store_reads_total"),
-		storeFailures: set.NewCounter("mulberrystream_store_failures_total"),
-		badNotices:    set.NewCounter("mulberrystream_unreadable_notices_total"),
-		firstEvent:    set.NewHistogram("mulberrystream_first_event_seconds"),
-		answer:        set.NewHistogram("mulberrystream_answer_seconds"),
+		set:            set,
+		storeReads:     set.NewCounter("mulberrystream_store_reads_total"),
+		storeFailures:  set.NewCounter("mulberrystream_store_failures_total"),
+		badNotices:     set.NewCounter("mulberrystream_unreadable_notices_total"),
+		invalidEntries: set.NewCounter("mulberrystream_invalid_entries_total"),
+		firstEvent:     set.NewHistogram("mulberrystream_first_event_seconds"),
+		answer:         set.NewHistogram("mulberrystream_answer_seconds"),
 	}
 }
 
--- a/pkg/relayhost/store.go
+++ b/pkg/relayhost/store.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
+	"github.com/mulberrystream/mulberrystream/pkg/boottime"
 	"github.com/mulberrystream/mulberrystream/pkg/follow"
 	"github.com/mulberrystream/mulberrystream/pkg/relay"
 )
@@ -15,8 +16,15 @@
 type storeSink struct {
 	host    *Host
 	failing bool
+
+	invalidLogged time.Time // when an invalid entry was last logged
+	invalidSince  int       // invalid entries since then
 }
 
+// invalidLogInterval is the minimum time between two log lines about invalid entries, which
+// another program may rewrite with every heartbeat.
+const invalidLogInterval = 10 * time.Second
+
 // Replace passes on all listed entries, and the configuration if it is listed.
 func (s *storeSink) Replace(items []follow.Item, at follow.Position) {
 	var entries []backends.Entry
@@ -59,12 +67,24 @@
 func (s *storeSink) decodeEntry(it follow.Item) (backends.Entry, bool) {
 	e, ok, err := s.host.decoder.Entry(it.Key, it.Value)
 	if err != nil {
-		s.host.log.Warn("store: invalid entry", zap.String("key", it.Key), zap.Error(err))
+		s.logInvalid(err)
 		return e, false
 	}
 	return e, ok
 }
 
+// logInvalid counts an invalid entry and logs it unless one was logged shortly before.
+func (s *storeSink) logInvalid(err error) {
+	s.host.metrics.invalidEntries.Inc()
+	now := boottime.Now()
+	if !s.invalidLogged.IsZero() && now.Sub(s.invalidLogged) < invalidLogInterval {
+		s.invalidSince++
+		return
+	}
+	s.host.log.Warn("store: invalid entry", zap.Error(err), zap.Int("not_logged", s.invalidSince))
+	s.invalidLogged, s.invalidSince = now, 0
+}
+
 func (s *storeSink) applyConfig(it follow.Item) {
 	if it.Removed {
 		s.host.log.Warn("store: configuration removed, keeping the last one")
