relay: a reservation is released only while the list shows the process that gave it

Same cause as for KV cache handles: reservations are kept as an engine and a name, and an engine that starts again numbers them anew, so releasing an old one frees the reservation of another request (DELETE carries no expected instance). Change: as for handles, the release is sent only if the list still shows the process at the address; else the reservation expires by itself. A decode with an old reservation is already redirected when the start time has changed, and answered 421 by another server at the address.

--- a/pkg/relay/request.go
+++ b/pkg/relay/request.go
@@ -111,8 +111,9 @@
 		q.load = backends.Load{}
 	}
 	if q.reservation != "" {
-		// A reservation at another server expires by itself.
-		if r.takesControlCalls(q.target) {
+		// A reservation at another server expires by itself. One that has started again counts
+		// its reservations anew.
+		if r.takesControlCalls(q.target) && r.backends.Current(r.now, q.target) {
 			r.emit(ReleaseReservation{To: q.target, Hold: q.reservation})
 		}
 		q.reservation = ""
