--- a/pkg/relay/golden_test.go
+++ b/pkg/relay/golden_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/mulberrystream/mulberrystream/pkg/backends"
 	"github.com/mulberrystream/mulberrystream/pkg/relay"
 )
 
@@ -91,6 +92,38 @@
 	s.arrive(4, "/read/1")
 }
 
+// resumedSession is a stream that its caller resumes while two versions serve, and again
+// when its version has left.
+func resumedSession(s *session) {
+	s.step(relay.EntriesListed{Entries: []backends.Entry{
+		engine("p1", backends.Prefill, "v1"), engine("d1", backends.Decode, "v1"), engine("d2", backends.Decode, "v2"),
+	}})
+	s.arrive(1, "/summary/1")
+	s.after(2 * time.Millisecond)
+	s.step(relay.Reserved{ID: 1, Attempt: 1, Outcome: relay.Succeeded, Hold: "hold-1"})
+	s.after(120 * time.Millisecond)
+	s.step(relay.Prefilled{ID: 1, Attempt: 2, Outcome: relay.Succeeded, Handle: "kv-1", Took: 120 * time.Millisecond})
+	s.after(30 * time.Millisecond)
+	s.step(relay.FirstEvent{ID: 1, Attempt: 3})
+	s.step(relay.StreamStarted{ID: 1, Attempt: 3})
+	s.after(500 * time.Millisecond)
+	s.step(relay.CallerLeft{ID: 1})
+	again := relay.RequestSpec{
+		RequestID: "again", Host: "h", Path: "/summary/1", Key: goodKey, Deadline: 13 * time.Second,
+		PromptTokens: 5000, MaxOutputTokens: 1000, TokensKnown: true, Resumes: true, ResumesRequest: "request-1",
+	}
+	s.after(200 * time.Millisecond)
+	s.step(relay.Arrived{ID: 2, Spec: again})
+	s.after(2 * time.Millisecond)
+	s.step(relay.CallerLeft{ID: 2})
+	s.step(relay.EntryRemoved{ID: "d1"})
+	s.step(relay.EntryRemoved{ID: "d2"})
+	s.step(relay.EntryChanged{Entry: engine("d3", backends.Decode, "v3")})
+	s.step(relay.Arrived{ID: 3, Spec: again})
+	again.ResumesRequest = "never seen"
+	s.step(relay.Arrived{ID: 4, Spec: again})
+}
+
 var _ = Describe("golden sessions", func() {
 	// Guards against unintended changes in the order or content of effects. After an
 	// intended change run go test ./pkg/relay -update and review the diff.
@@ -108,5 +141,6 @@
 		},
 		Entry("a stream that is resumed at another engine", "model", modelSession),
 		Entry("plain requests", "plain", plainSession),
+		Entry("a stream that its caller resumes", "resumed", resumedSession),
 	)
 })
