origin: doubt records of processes that a host has never seen

A record is in doubt now whenever the listed process is a later one and the host has not seen what followed the recorded one.

--- a/pkg/origin/restarts_test.go
+++ b/pkg/origin/restarts_test.go
@@ -98,6 +98,12 @@
 		Expect(version(6, "r")).To(BeEmpty())
 	})
 
+	It("are unknown if this host has seen neither the process nor what followed it", func() {
+		t = settled(serving("s1", 3, "v1"), other)
+		note(6, "r", 5*time.Second)
+		Expect(version(6, "r")).To(BeEmpty())
+	})
+
 	It("are unknown if a history shows the restart", func() {
 		t = settled(serving("s1", 2, "v2"), other)
 		t.Past(start, 10*time.Second, []origin.Serving{old})
--- a/pkg/origin/versions.go
+++ b/pkg/origin/versions.go
@@ -260,10 +260,10 @@
 		r, removed := v.removed[p.ID]
 		s, known = r.Serving, removed
 	}
-	// A host that has never seen the earlier process does not know when the server has
-	// started again.
-	return known && s.Process.StartedAt >= p.StartedAt && (s.Version != version || s.Service != service) &&
-		!v.restarts.seen(p)
+	// A host that has never seen the earlier process does not know when and how often the
+	// server has started again.
+	same := s.Process == p && s.Version == version && s.Service == service
+	return known && !same && s.Process.StartedAt >= p.StartedAt && !v.restarts.seen(p)
 }
 
 // prune forgets what is older than the span.
