sendonce: reset the connection of a call that is given up

Cause: a call whose context ends, that times out or that fails closed its connection in the usual way, after which the kernel goes on delivering what the peer has not received. A request that is held up on the way, for example in a network partition, could arrive and run after its call had been given up and another server had the request. DEPLOY.md: held-up bytes are lost only if their sender resets the connection. Change: connections with a call in progress are closed with a linger time of 0. Idle connections are closed as before.

--- a/pkg/sendonce/client.go
+++ b/pkg/sendonce/client.go
@@ -136,7 +136,7 @@
 	if err != nil {
 		return c.wrapError(ctx, "connect", nil, err)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = cn.nc.Close() })
+	stop := context.AfterFunc(ctx, cn.abort)
 	cn.expect(time.Time{}, framingFactor*c.opt.MaxBody+c.opt.BufferSize)
 	cn.account = c.opt.Budget.newAccount()
 	step, err := c.roundTrip(cn, id, req, resp)
@@ -148,7 +148,8 @@
 		return nil
 	}
 	if err != nil {
-		c.drop(cn)
+		cn.abort()
+		c.uncountConn()
 		return c.wrapError(ctx, step, cn, err)
 	}
 	c.release(cn, c.isLastUse(cn, req, resp))
--- a/pkg/sendonce/conn.go
+++ b/pkg/sendonce/conn.go
@@ -54,6 +54,16 @@
 	return n, err
 }
 
+// abort closes the connection and discards what the peer has not received yet, so that a
+// request that is held up, for example in a network partition, does not arrive later.
+func (c *conn) abort() {
+	if tc, ok := c.nc.(*net.TCPConn); ok {
+		// It fails only on a closed connection.
+		_ = tc.SetLinger(0)
+	}
+	_ = c.nc.Close()
+}
+
 // usable reports whether an idle connection is still open and has no unread data.
 // Without this check, a call on a connection that the peer closed while it was idle
 // would have an unknown outcome although it never ran.
--- a/pkg/sendonce/stream.go
+++ b/pkg/sendonce/stream.go
@@ -37,7 +37,7 @@
 	resp := fasthttp.AcquireResponse()
 	resp.StreamBody = true
 	s := &Stream{client: c, cn: cn, ctx: ctx, req: req, resp: resp}
-	s.stop = context.AfterFunc(ctx, func() { _ = cn.nc.Close() })
+	s.stop = context.AfterFunc(ctx, cn.abort)
 	s.Progress(progressTimeout, maxUnread)
 	step, err := c.roundTrip(cn, id, req, resp)
 	if err != nil {
@@ -137,7 +137,7 @@
 	alive := s.stop()
 	last := s.client.isLastUse(s.cn, s.req, s.resp)
 	if !s.complete || !alive {
-		_ = s.cn.nc.Close()
+		s.cn.abort()
 		last = true
 	}
 	_ = s.resp.CloseBodyStream()
