--- a/pkg/sendonce/late_refusal_test.go
+++ b/pkg/sendonce/late_refusal_test.go
@@ -8,7 +8,7 @@
 )
 
 // A call that the peer runs must not appear refused because the peer sends the refusal of
-// an earlier call with the same ID once more (REFUSED, TWICE).
+// an earlier call with the same ID once more.
 var _ = DescribeTable("a refusal that the peer sends once more is not taken for the answer to a second",
 	func(call caller) {
 		p := newEchoPeer(func(conn, n int, id string) string {
--- a/pkg/sendonce/late_test.go
+++ b/pkg/sendonce/late_test.go
@@ -129,7 +129,7 @@
 
 var callers = []TableEntry{Entry("call", caller(do)), Entry("stream", caller(stream))}
 
-// A caller must not get the answer to another call (MIXED), nor lose its own answer because
+// A caller must not get the answer to another call, nor lose its own answer because
 // another one came first.
 var _ = Describe("a late second answer", func() {
 	DescribeTable("to an earlier call does not take the place of the right one in a",
--- a/pkg/sendonce/stutter_test.go
+++ b/pkg/sendonce/stutter_test.go
@@ -188,7 +188,7 @@
 }
 
 // TestStutter guards against calls that get the answer to another call, or lose their own,
-// because the peer repeats any earlier answer at any time (MIXED, REFUSED).
+// because the peer repeats any earlier answer at any time.
 func TestStutter(t *testing.T) {
 	for seed := range uint64(100) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
