relay: a decode that is not sent keeps its permit

What callers saw: 503 server_limits for a request whose permit had not been used. Cause: the permit of a limited engine was used up when the decode was emitted; if its KV cache handle was found invalid before the send, the request was sent to the engine anew without one. Change: the permit is taken back together with the reservation. Measured: the new spec fails without the change; pkg/relay passes.

--- a/pkg/relay/handle.go
+++ b/pkg/relay/handle.go
@@ -56,6 +56,7 @@
 func (r *Relay) decodeUnsent(q *request) {
 	r.logRequest(q, "kv_handle", "no longer valid when it was to be sent, the decode engine does the prefill")
 	q.reservation = q.sentHold
+	q.keepPermit(q.target)
 	r.decodeLocally(q)
 }
 
--- a/pkg/relay/handles_test.go
+++ b/pkg/relay/handles_test.go
@@ -9,6 +9,7 @@
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 	"github.com/mulberrystream/mulberrystream/pkg/relay"
+	"github.com/mulberrystream/mulberrystream/pkg/serverlimit"
 )
 
 // answerPrefill answers a prefill with a handle.
@@ -202,3 +203,24 @@
 		Expect(expect[relay.Decode](answerTokens(relay.RequestSpec{Deadline: 14 * time.Second}, 4999)).Handle).To(Equal("kv"))
 	})
 })
+
+// Guards against a request that is refused for lack of a permit although the permit that it
+// had was not used.
+var _ = Describe("a decode that is not sent because its KV cache handle has become invalid", func() {
+	It("keeps its permit for an engine that has named a limit", func() {
+		h := newHost().ready()
+		for _, id := range []ident.BackendID{"d1", "d2"} {
+			limit := serverlimit.Statement{Kind: serverlimit.Named, PerSecond: 5}
+			h.step(relay.ServerNoticed{From: backends.Target{ID: id, StartedAt: 1}, SentAt: h.now, Notice: backends.Notice{Limit: limit}})
+		}
+		h.wait(time.Second)
+		h.platformRead()
+		h.submitModel("/verdict/1")
+		h.wait(time.Second)
+		h.submitModel("/verdict/2")
+		h.answerPrefill(expect[relay.Prefill](h))
+		d := expect[relay.Decode](h)
+		h.step(relay.CallEnded{ID: d.ID, Attempt: d.Attempt.Attempt, Outcome: relay.Unsent, HandleInvalid: true})
+		Expect(expect[relay.Decode](h).To.ID).To(Equal(d.To.ID))
+	})
+})
--- a/pkg/relay/serverlimits.go
+++ b/pkg/relay/serverlimits.go
@@ -122,7 +122,16 @@
 
 // usePermit removes the permit for a server to which the request is being sent.
 func (q *request) usePermit(to backends.Target) {
+	n := len(q.permits)
 	q.permits = slices.DeleteFunc(q.permits, func(p serverlimit.Process) bool { return p == to.Process() })
+	q.permitUsed = len(q.permits) < n
+}
+
+// keepPermit takes back the last permit that was used for a call that has not been sent.
+func (q *request) keepPermit(to backends.Target) {
+	if q.permitUsed {
+		q.permits, q.permitUsed = append(q.permits, to.Process()), false
+	}
 }
 
 // acquirePermit gets a permit for a request to a server, if one is needed. While the
