relayhost: a KV cache handle is used only while the connection over which it came is open

What callers saw: a request went on from the prompt of another one, when a prefill engine had started again and the list did not show it yet, for example while the store is slow or cut off. Cause: the process that gave a handle was known only from the list. Change: the answer to a prefill records its connection, and the decode is not sent if that has ended since. When a process ends, so do its connections. A connection that the host itself closes after the answer tells nothing, and the list decides as before. Not covered: a process that loses power, whose connections stay open at the host.

--- a/pkg/relayhost/calls.go
+++ b/pkg/relayhost/calls.go
@@ -174,7 +174,7 @@
 	req := fasthttp.AcquireRequest()
 	x.host.dialect.Reserve(req, e.To.ID, e.Tokens, e.TTL)
 	req.Header.SetHost(e.To.Addr)
-	hold, o := x.controlCall(e.Attempt, req, "", x.host.dialect.ParseReservation)
+	hold, o := x.controlCall(e.Attempt, req, "", nil, x.host.dialect.ParseReservation)
 	return relay.Reserved{ID: e.ID, Attempt: e.Attempt.Attempt, Outcome: o, Hold: hold}
 }
 
@@ -182,7 +182,8 @@
 	begin := boottime.Now()
 	req := x.newRequest(Forward{To: e.To.ID, TimeLeft: timeLeft(e.Deadline), Organisation: e.Organisation, Prefill: true})
 	var tokens int64
-	handle, o := x.controlCall(e.Attempt, req, x.spec.RequestID, func(body []byte) (handle string, err error) {
+	x.prefillLink = &sendonce.Link{}
+	handle, o := x.controlCall(e.Attempt, req, x.spec.RequestID, x.prefillLink, func(body []byte) (handle string, err error) {
 		handle, tokens, err = x.host.dialect.ParsePrefill(body)
 		return handle, err
 	})
@@ -193,15 +194,18 @@
 }
 
 // controlCall makes a reserve or prefill call and returns the reservation or KV cache
-// handle that parse finds in its answer. requestID is the ID that req carries, if any. It
-// releases req.
-func (x *exchange) controlCall(a relay.Attempt, req *fasthttp.Request, requestID string, parse func([]byte) (string, error)) (string, relay.Outcome) {
+// handle that parse finds in its answer. requestID is the ID that req carries, if any, and
+// link gets the connection unless it is nil. It releases req.
+func (x *exchange) controlCall(a relay.Attempt, req *fasthttp.Request, requestID string, link *sendonce.Link, parse func([]byte) (string, error)) (string, relay.Outcome) {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	ctx, cancel := x.withDeadline(a.Deadline)
 	defer cancel()
 	begin := boottime.Now()
+	if link != nil {
+		ctx = sendonce.WithLink(ctx, link)
+	}
 	if err := x.host.clients.forAddr(a.To.Addr).Do(ctx, req, resp); err != nil {
 		o := x.errorOutcome(err, a.To)
 		if o == relay.Aborted {
--- a/pkg/relayhost/front.go
+++ b/pkg/relayhost/front.go
@@ -13,6 +13,7 @@
 
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 	"github.com/mulberrystream/mulberrystream/pkg/relay"
+	"github.com/mulberrystream/mulberrystream/pkg/sendonce"
 )
 
 // ServeHTTP relays one request of a caller.
@@ -80,6 +81,7 @@
 	body []byte
 	spec relay.RequestSpec
 
+	prefillLink   *sendonce.Link  // over which the last prefill was answered
 	buffered      *bufferedAnswer // last complete answer from a backend server
 	headerSent    bool            // the header of the stream has been sent
 	lastEventID   string          // id of the last event sent to the caller
--- a/pkg/relayhost/handle_test.go
+++ b/pkg/relayhost/handle_test.go
@@ -45,7 +45,7 @@
 			h.core.step(relay.EntriesListed{Entries: []backends.Entry{c.entry}})
 			req := fasthttp.AcquireRequest()
 			req.Header.SetHost("p1")
-			ctx := h.withHandleCheck(context.Background(), source, boottime.Now().Add(c.expiry))
+			ctx := h.withHandleCheck(context.Background(), source, boottime.Now().Add(c.expiry), nil)
 			err := sendonce.New(s.Listener.Addr().String(), sendonce.Options{}).Do(ctx, req, &fasthttp.Response{})
 			if c.sent {
 				g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -312,7 +312,7 @@
 		h.callInBackground(h.ctx, e.To, func(req *fasthttp.Request) { h.dialect.ReleaseReservation(req, e.Hold) }, ignoreResult)
 	case relay.ReleasePrefill:
 		write := func(req *fasthttp.Request) { h.dialect.ReleasePrefill(req, e.Handle) }
-		h.callInBackground(h.withHandleCheck(h.ctx, e.To, e.Expiry), e.To, write, ignoreResult)
+		h.callInBackground(h.withHandleCheck(h.ctx, e.To, e.Expiry, nil), e.To, write, ignoreResult)
 	case relay.RoleOrder:
 		h.sendRoleOrder(e)
 	case relay.ReadHistory:
--- a/pkg/relayhost/stream.go
+++ b/pkg/relayhost/stream.go
@@ -32,7 +32,7 @@
 	ctx, cancel := x.withDeadline(e.Deadline.Add(answerGrace))
 	defer cancel()
 	if e.Source != nil {
-		ctx = x.host.withHandleCheck(ctx, *e.Source, e.HandleExpiry)
+		ctx = x.host.withHandleCheck(ctx, *e.Source, e.HandleExpiry, x.prefillLink)
 	}
 	s, err := x.host.clients.forAddr(e.To.Addr).Stream(ctx, x.newRequest(f), e.FirstEvent)
 	if err == nil {
--- a/pkg/sendonce/client.go
+++ b/pkg/sendonce/client.go
@@ -152,7 +152,9 @@
 		c.uncountConn()
 		return c.wrapError(ctx, step, cn, err)
 	}
-	c.release(cn, c.isLastUse(cn, req, resp))
+	if c.release(cn, c.isLastUse(cn, req, resp)) {
+		recordLink(ctx, cn)
+	}
 	return nil
 }
 
@@ -322,11 +324,11 @@
 }
 
 // release keeps a connection for reuse unless this was its last use or the peer has
-// sent more than the response.
-func (c *Client) release(cn *conn, lastUse bool) {
+// sent more than the response. It reports whether the connection is kept.
+func (c *Client) release(cn *conn, lastUse bool) bool {
 	if lastUse || cn.br.Buffered() > 0 {
 		c.drop(cn)
-		return
+		return false
 	}
 	cn.idleSince = time.Now()
 	c.mu.Lock()
@@ -342,6 +344,7 @@
 	for _, s := range stale {
 		c.drop(s)
 	}
+	return keep
 }
 
 // takeStaleLocked removes and returns the connections that have exceeded IdleTimeout;
--- a/pkg/sendonce/conn.go
+++ b/pkg/sendonce/conn.go
@@ -71,22 +71,29 @@
 	if c.br.Buffered() > 0 {
 		return false
 	}
+	_, err := c.peek()
+	return err == syscall.EAGAIN
+}
+
+// peek returns how many bytes can be read now without waiting, at most 1; none without an
+// error is the end of what the peer sends, and EAGAIN says that the connection is open.
+func (c *conn) peek() (n int, err error) {
 	sc, ok := c.nc.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, syscall.EAGAIN
 	}
 	rc, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	open := false
-	err = rc.Read(func(fd uintptr) bool {
+	cerr := rc.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = rerr == syscall.EAGAIN
-		return true
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && open
+	if cerr != nil {
+		return 0, cerr
+	}
+	return n, err
 }
 
 // reset prepares an idle connection for the next request.
