backends, relay: a restored store's entries of processes that others have followed are not used

Cause: a store that comes back from an older copy lists a server that has started again since with the entry of its earlier process, until the server writes again. The host replaced the entry that it knew, so a stream of the earlier version went on at the new process. Servers that had left were withheld, those that had started again were not.

Change: for the time that outdated entries are withheld after a restore, a listed entry whose process started before the known one of the same id is ignored; the server counts as missing from the copy, so it stays in use until it registers again or the grace period ends. A host that has started after the restore cannot tell such entries.

--- a/pkg/backends/restore.go
+++ b/pkg/backends/restore.go
@@ -76,6 +76,16 @@
 	d.servers[e.ID].unusedUntil = d.withheldTill
 }
 
+// Outdated reports whether an entry in the list of a restored store is of a process after
+// which another one has registered under the same ID.
+func (d *Directory) Outdated(now time.Time, e Entry) bool {
+	if !now.Before(d.withheldTill) {
+		return false
+	}
+	s := d.servers[e.ID]
+	return s != nil && e.StartedAt < s.StartedAt || e.StartedAt < d.departed[e.ID].startedAt
+}
+
 // MarkUnconfirmed records that a restored store does not list a server. It stays in use
 // and is removed after unconfirmedGrace unless Put is called for it again.
 func (d *Directory) MarkUnconfirmed(now time.Time, id ident.BackendID) {
--- a/pkg/backends/restore_test.go
+++ b/pkg/backends/restore_test.go
@@ -50,6 +50,18 @@
 		Expect(used()).To(ConsistOf(ident.BackendID("stays")), "a second list of the same copy")
 	})
 
+	// Guards against an entry of an earlier process, whose software may have had another
+	// version, that is taken for that of the present one.
+	It("tells entries of processes after which others have registered", func() {
+		d.Put(entry("again", 5, false))
+		Expect(d.Outdated(now, entry("again", 4, false))).To(BeTrue())
+		Expect(d.Outdated(now, entry("again", 5, false))).To(BeFalse())
+		Expect(d.Outdated(now, entry("again", 6, false))).To(BeFalse())
+		Expect(d.Outdated(now, entry("left", 0, false))).To(BeTrue())
+		Expect(d.Outdated(now, entry("unknown", 1, false))).To(BeFalse())
+		Expect(d.Outdated(now.Add(time.Minute), entry("again", 4, false))).To(BeFalse())
+	})
+
 	It("uses a server again that registers in the new era", func() {
 		d.Put(entry("left", 1, false))
 		Expect(used()).To(ConsistOf(ident.BackendID("stays"), ident.BackendID("left")))
--- a/pkg/relay/platform.go
+++ b/pkg/relay/platform.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
+	"github.com/mulberrystream/mulberrystream/pkg/backends"
 	"github.com/mulberrystream/mulberrystream/pkg/catalog"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 	"github.com/mulberrystream/mulberrystream/pkg/quota"
@@ -75,6 +77,7 @@
 		r.storeEra, r.storeRevision = e.Era, 0
 	}
 	listed := make(map[ident.BackendID]bool, len(e.Entries))
+	e.Entries = slices.DeleteFunc(e.Entries, func(entry backends.Entry) bool { return r.backends.Outdated(r.now, entry) })
 	for _, entry := range e.Entries {
 		listed[entry.ID] = true
 		r.backends.PutListed(entry)
