catalog, relay: a resumed stream goes to the service that began it

What callers would see: a stream on a route that is split between services goes on at another service. Cause: the service is chosen by the id of the request, which is new for each of the caller's attempts, with a seed of the process, so another host chooses otherwise too. Change: the choice is by the id of the request that began the stream, with the same hash at every host.

--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -66,6 +66,17 @@
 		Expect(n["p"]).To(BeNumerically("~", 9000, 200))
 	})
 
+	// Guards against a resumed stream that another host sends to another service.
+	It("selects the same service at every host", func() {
+		s.Services["p"], s.Services["q"] = &catalog.Service{Name: "p"}, &catalog.Service{Name: "q"}
+		r := &catalog.Route{Split: []catalog.Share{{Service: "p", Weight: 1}, {Service: "q", Weight: 1}}}
+		var names string
+		for i := range 16 {
+			names += string(s.Choose(r, fmt.Sprint("request-", i)).Name)
+		}
+		Expect(names).To(Equal("qpppqppqqpqppqpq"))
+	})
+
 	It("selects no service that is not in the configuration", func() {
 		Expect(s.Choose(&catalog.Route{Split: []catalog.Share{{Service: "gone", Weight: 1}}}, "id")).To(BeNil())
 		Expect(s.Choose(&catalog.Route{}, "id")).To(BeNil())
--- a/pkg/catalog/snapshot.go
+++ b/pkg/catalog/snapshot.go
@@ -2,10 +2,11 @@
 
 import (
 	"cmp"
-	"hash/maphash"
 	"slices"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 )
 
@@ -80,19 +81,16 @@
 	}
 }
 
-// splitSeed is set once for each process, so that every call of Choose in it selects the
-// same service for a request id.
-var splitSeed = maphash.MakeSeed()
-
-// Choose selects a service of the route's split by weight and request id. It returns nil
-// if the split is empty or the selected service is not in the snapshot.
+// Choose selects a service of the route's split by weight and request id, the same one at
+// every host. It returns nil if the split is empty or the selected service is not in the
+// snapshot.
 func (s *Snapshot) Choose(r *Route, id string) *Service {
 	total := 0.0
 	for _, sh := range r.Split {
 		total += max(0, sh.Weight)
 	}
 	const resolution = 1 << 20
-	point := float64(maphash.String(splitSeed, id)%resolution) / resolution * total
+	point := float64(xxhash.Sum64String(id)%resolution) / resolution * total
 	for _, sh := range r.Split {
 		if point -= max(0, sh.Weight); point < 0 {
 			return s.Services[sh.Service]
--- a/pkg/relay/admit.go
+++ b/pkg/relay/admit.go
@@ -64,7 +64,7 @@
 			return 401, BadKey, 0
 		}
 	}
-	if q.service = r.snapshot.Choose(route, q.spec.RequestID); q.service == nil {
+	if q.service = r.snapshot.Choose(route, q.spec.firstRequest()); q.service == nil {
 		return 503, NoBackend, retryAfterStartup
 	}
 	if e := q.service.Engine; e != nil && e.MemoryTokens > 0 && q.maxMemory() > e.MemoryTokens {
--- a/pkg/relay/origins.go
+++ b/pkg/relay/origins.go
@@ -75,13 +75,18 @@
 // pin lets a request run only at servers of a version from now on.
 func (q *request) pin(v ident.Version) { q.pinned, q.version = true, v }
 
-// stream names the stream of a request by the caller's request that began it.
-func (q *request) stream() origin.Stream {
-	s := origin.Stream{RequestID: q.spec.RequestID, Service: q.service.Name}
-	if q.spec.Resumes {
-		s.RequestID = q.spec.ResumesRequest
+// firstRequest returns the ID of the caller's request that began the stream; empty if a
+// request that resumes a stream does not name it.
+func (s RequestSpec) firstRequest() string {
+	if s.Resumes {
+		return s.ResumesRequest
 	}
-	return s
+	return s.RequestID
+}
+
+// stream names the stream of a request.
+func (q *request) stream() origin.Stream {
+	return origin.Stream{RequestID: q.spec.firstRequest(), Service: q.service.Name}
 }
 
 // resolveOrigin finds out the version of a stream that a caller resumes.
