relay, origin: keep the origins of streams for as long as the routes allow

Cause: the time for which callers may resume a stream was 15 s, whatever the routes say. Where a route allows more, a version that had left longer ago counted as impossible, and the stream could go on at another. Change: it follows the longest time limit of the resumable routes seen since the start. Measured: the new spec fails without the change and passes; origin, catalog and relay pass.

--- a/pkg/catalog/snapshot.go
+++ b/pkg/catalog/snapshot.go
@@ -81,6 +81,15 @@
 	}
 }
 
+// Routes calls visit for each route.
+func (s *Snapshot) Routes(visit func(*Route)) {
+	for _, routes := range s.routes {
+		for _, r := range routes {
+			visit(r)
+		}
+	}
+}
+
 // Choose selects a service of the route's split by weight and request id, the same one at
 // every host. It returns nil if the split is empty or the selected service is not in the
 // snapshot.
--- a/pkg/origin/config.go
+++ b/pkg/origin/config.go
@@ -11,7 +11,8 @@
 	Self   ident.HostID
 	Domain ident.FailureDomain
 	// Life is the longest time from the first event of a stream until a caller last
-	// resumes it. A longer one needs more memory and a longer view of the versions.
+	// resumes it, see also SetLife. A longer one needs more memory and a longer view of the
+	// versions.
 	Life time.Duration
 	// Linger is how long a process may still begin streams after its entry was removed:
 	// hosts that cannot read the platform use their last list.
--- a/pkg/origin/tracker.go
+++ b/pkg/origin/tracker.go
@@ -49,6 +49,14 @@
 	}
 }
 
+// SetLife raises the longest time from the first event of a stream until a caller last
+// resumes it. It is never lowered: streams that have begun may still be resumed.
+func (t *Tracker) SetLife(life time.Duration) {
+	if life > t.cfg.Life {
+		t.cfg.Life, t.versions.cfg.Life, t.book.life = life, life, life
+	}
+}
+
 // SetPeers sets the hosts that are alive and whose program keeps origins.
 func (t *Tracker) SetPeers(now time.Time, peers []Peer) {
 	had := t.ranking.count > 0
--- a/pkg/relay/origins.go
+++ b/pkg/relay/origins.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
+	"github.com/mulberrystream/mulberrystream/pkg/catalog"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 	"github.com/mulberrystream/mulberrystream/pkg/origin"
 	"github.com/mulberrystream/mulberrystream/pkg/roster"
@@ -11,6 +12,8 @@
 )
 
 const (
+	// streamLifeMargin allows for the time between a caller's request and its arrival here.
+	streamLifeMargin = time.Second
 	// historyTimeout bounds the time that a resumed stream waits for the history of the list.
 	historyTimeout = 700 * time.Millisecond
 	// retryAfterGone is the Retry-After of streams of whose version no server is listed.
@@ -154,6 +157,21 @@
 	r.log(d)
 }
 
+// setStreamLife adapts how long origins are kept to the routes: callers do not resume a
+// stream for longer than the time limit of its route.
+func (r *Relay) setStreamLife() {
+	r.snapshot.Routes(func(route *catalog.Route) {
+		if route.Kind != catalog.Stream || !route.Resumable {
+			return
+		}
+		limit := route.Timeout
+		if limit <= 0 {
+			limit = maxRequestTime
+		}
+		r.origins.SetLife(limit + streamLifeMargin)
+	})
+}
+
 // firstEvent records the origin of a stream before its first event is relayed, unless
 // callers cannot resume it.
 func (r *Relay) firstEvent(e FirstEvent) {
--- a/pkg/relay/origins_routes_test.go
+++ b/pkg/relay/origins_routes_test.go
@@ -42,4 +42,24 @@
 		}
 		Expect(began).To(HaveLen(2))
 	})
+
+	// Guards against a stream that outlives the record of its version.
+	It("are kept for as long as callers may resume the streams of any route", func() {
+		h := newHost()
+		s := snapshot(1, goodKey)
+		s.Match("h", "/summary/").Timeout = time.Minute
+		h.step(relay.ConfigRead{Snapshot: s})
+		h.step(relay.EntriesListed{Entries: []backends.Entry{
+			engine("p1", backends.Prefill, "v1"), engine("d1", backends.Decode, "v1"), engine("d2", backends.Decode, "v2"),
+		}})
+		h.wait(10 * time.Second)
+		h.platformRead()
+		d := h.begin("first")
+		h.step(relay.CallerLeft{ID: d.ID})
+		h.step(relay.EntryRemoved{ID: d.To.ID})
+		h.wait(50 * time.Second)
+		h.platformRead()
+		h.stream("again", "first")
+		Expect(expect[relay.Refuse](h).Reason).To(Equal(relay.VersionGone))
+	})
 })
--- a/pkg/relay/platform.go
+++ b/pkg/relay/platform.go
@@ -20,6 +20,7 @@
 	s.Organisations(func(o *catalog.Organisation) {
 		r.quota.SetLimit(r.now, o.Name, quota.Limit{Rate: o.Rate, Burst: o.Burst})
 	})
+	r.setStreamLife()
 	r.log(Decision{Step: "configuration", Version: s.Version, Outcome: "in force"})
 }
 
