sendonce: wait for the extra bytes in the spec of a connection that has some

Cause: the peer wrote the extra bytes after the response, and the second call could begin before they had arrived, when the connection cannot be told from a good one; such a call fails as lost, which is right. Change: the second call begins once the peer has written them.

--- a/pkg/sendonce/endless_test.go
+++ b/pkg/sendonce/endless_test.go
@@ -100,10 +100,20 @@
 		}, endlessBytes)
 
 	It("does not reuse a connection with bytes after a complete response", func() {
-		p := newPeer(endless(okLine+"Content-Length: 2\r\n\r\nok", "x"))
+		extra := make(chan struct{}, 2)
+		p := newPeer(func(n int, c net.Conn) bool {
+			for _, part := range []string{okLine + "Content-Length: 2\r\n\r\nok", "x"} {
+				if _, err := io.WriteString(c, part); err != nil {
+					return false
+				}
+			}
+			extra <- struct{}{}
+			return endless("", "x")(n, c)
+		})
 		c := sendonce.New(p.addr(), sendonce.Options{})
 		Expect(get(context.Background(), c, "GET")).To(Succeed())
 		Eventually(p.requests).Should(Equal(1))
+		Eventually(extra, 10*time.Second).Should(Receive())
 		done := make(chan error, 1)
 		go func() { done <- get(context.Background(), c, "GET") }()
 		Eventually(p.requests, 10*time.Second).Should(Equal(2))
