backends, relay: a stream does not go on at a server that was unreachable since the list was current

Cause: the version of a process was taken from a list that did not show the restart yet. Change: while several versions can have begun a stream, a pinned request is not placed at a server that this host, or another one by its report, could not reach after the time as of which the list is known. A restart that no host notices before the list shows it is still not seen.

--- a/pkg/backends/health.go
+++ b/pkg/backends/health.go
@@ -107,6 +107,11 @@
 	return !now.Before(h.suspendedUntil) && !now.Before(h.probeUntil)
 }
 
+// unreachableSince reports whether any host has failed to reach the server since a time.
+func (h *health) unreachableSince(t time.Time) bool {
+	return h.unreachableAt.After(t) || h.reportedAt.After(t)
+}
+
 // SuspendDomain suspends the servers of a failure domain whose hosts are silent, since
 // the servers may be unreachable too. Each gets no requests for the back-off and then
 // one at a time until it has answered.
--- a/pkg/backends/pick.go
+++ b/pkg/backends/pick.go
@@ -26,6 +26,10 @@
 	// empty without Pinned: no preference.
 	Version ident.Version
 	Pinned  bool
+	// ListedAsOf, if set, excludes from a pinned request the servers that could not be
+	// reached later than that: they may have started again with another version, which the
+	// list does not show yet.
+	ListedAsOf time.Time
 }
 
 const (
--- a/pkg/backends/versions.go
+++ b/pkg/backends/versions.go
@@ -23,7 +23,9 @@
 )
 
 // matchesVersion reports whether a server has the version that a request requires, if any.
-func (s *server) matchesVersion(q Query) bool { return !q.Pinned || s.Version == q.Version }
+func (s *server) matchesVersion(q Query) bool {
+	return !q.Pinned || s.Version == q.Version && (q.ListedAsOf.IsZero() || !s.health.unreachableSince(q.ListedAsOf))
+}
 
 // versionPenalty returns what a server's version adds to its cost.
 func (s *server) versionPenalty(q Query) float64 {
--- a/pkg/backends/versions_test.go
+++ b/pkg/backends/versions_test.go
@@ -51,6 +51,25 @@
 		Expect(pick(query(20_000))).To(Equal(ident.BackendID("d2")))
 	})
 
+	// Guards against a stream that goes on at a server that has started again under its id with
+	// another version while this host cannot read the list.
+	It("places a pinned request at no server that could not be reached since the list was current", func() {
+		put("d1", backends.Decode, "v1")
+		q := pinned(5000, "v1")
+		q.ListedAsOf = now
+		now = now.Add(time.Second)
+		d.Failed(now, "d1", backends.Unreachable)
+		now = now.Add(time.Minute)
+		Expect(pick(q)).To(BeEmpty())
+		q.ListedAsOf = now
+		Expect(pick(q)).To(Equal(ident.BackendID("d1")))
+		d.Reached(now, "d1")
+		d.ApplyReports(now, []backends.UnreachableReport{{ID: "d1", Age: 0}})
+		q.ListedAsOf = now.Add(-time.Millisecond)
+		Expect(pick(q)).To(BeEmpty(), "another host could not reach it")
+		Expect(pick(query(5000))).To(Equal(ident.BackendID("d1")))
+	})
+
 	It("tells a pinned request without a version from one that is not pinned", func() {
 		put("d1", backends.Decode, "v1")
 		_, ok := d.PickDecode(now, pinned(5000, ""))
--- a/pkg/relay/staged.go
+++ b/pkg/relay/staged.go
@@ -152,7 +152,7 @@
 
 // decodeQuery describes the decode engine that a request needs.
 func (r *Relay) decodeQuery(q *request) backends.Query {
-	return backends.Query{
+	query := backends.Query{
 		Service:         q.service.Name,
 		Stage:           backends.Decode,
 		Model:           q.spec.Model,
@@ -165,6 +165,10 @@
 		Version:         q.version,
 		Pinned:          q.pinned,
 	}
+	if _, sole := r.origins.Sole(r.now, q.service.Name); q.pinned && !sole {
+		query.ListedAsOf = r.confirmedAt
+	}
+	return query
 }
 
 func (r *Relay) reserved(e Reserved) {
