review: the added machines of case 1 use one fencing token

Change: names whose fencing tokens are equal, and three zones with four engines each, so that the orders meet at the same replicas in each run.

--- a/review/standin/seeds.go
+++ b/review/standin/seeds.go
@@ -21,7 +21,9 @@
 		{"front-teku-2", "teku", "127.0.71.2"}, {"front-balaju-2", "balaju", "127.0.72.2"}, {"front-thimi-2", "thimi", "127.0.73.2"},
 		{"front-patan-1", "patan", "127.0.74.1"},
 	}
-	added := []machine{{"front-teku-3", "teku", "127.0.71.3"}, {"front-patan-2", "patan", "127.0.74.2"}}
+	// Two names of the large deployment. The fencing tokens of their machines are equal while
+	// the store's revision is.
+	added := []machine{{"front-teku-20", "teku", "127.0.71.20"}, {"front-balaju-9", "balaju", "127.0.72.9"}}
 	var ips []string
 	for _, m := range append(append([]machine{}, first...), added...) {
 		ips = append(ips, m.ip)
@@ -29,10 +31,11 @@
 	p := freePorts(ips)
 	seeds := []string{at(ips[0], p.control), at(ips[1], p.control), at(ips[2], p.control)}
 	w.store.put("op/config", config(3))
-	for _, zone := range []string{"teku", "balaju", "thimi", "patan"} {
+	for _, zone := range []string{"teku", "balaju", "thimi"} {
 		w.addBackend("i-lm1-"+zone, "inspect-lm", zone, "prefill", 128)
-		w.addBackend("i-lm2-"+zone, "inspect-lm", zone, "decode", 128)
-		w.addBackend("i-lm3-"+zone, "inspect-lm", zone, "decode", 128)
+		for i := range 3 {
+			w.addBackend(fmt.Sprintf("i-lm%d-%s", i+2, zone), "inspect-lm", zone, "decode", 128)
+		}
 	}
 	w.addBackend("i-app1", "counter-app", "teku", "", 6)
 	for _, m := range first {
