--- a/pkg/relay/config.go
+++ b/pkg/relay/config.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
+	"github.com/mulberrystream/mulberrystream/pkg/notes"
 	"github.com/mulberrystream/mulberrystream/pkg/origin"
 	"github.com/mulberrystream/mulberrystream/pkg/quarantine"
 	"github.com/mulberrystream/mulberrystream/pkg/quota"
@@ -21,6 +22,7 @@
 	Parts    quarantine.Config
 	Limits   serverlimit.Config
 	Origins  origin.Config
+	Notes    notes.Config
 
 	// StaleAfter is the age of the configuration beyond which requests that need a
 	// key are refused, because the key may have been revoked since. It is the
@@ -64,6 +66,7 @@
 		Backends:     servers,
 		Parts:        quarantine.DefaultConfig(),
 		Origins:      origin.DefaultConfig(self.ID, self.Domain),
+		Notes:        notes.DefaultConfig(),
 		Limits:       serverlimit.DefaultConfig(self.ID, servers.Seed),
 		StaleAfter:   4 * time.Second,
 		ApplyWithin:  2 * time.Second,
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -6,6 +6,7 @@
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
 	"github.com/mulberrystream/mulberrystream/pkg/catalog"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/notes"
 	"github.com/mulberrystream/mulberrystream/pkg/origin"
 	"github.com/mulberrystream/mulberrystream/pkg/quarantine"
 	"github.com/mulberrystream/mulberrystream/pkg/quota"
@@ -220,7 +221,8 @@
 	Answers     []serverlimit.Answer `cbor:"16,keyasint,omitempty"` // of a coordinator
 	Origins     *origin.Message      `cbor:"17,keyasint,omitempty"`
 	// KeepsOrigins says that the sender's program keeps the origins of streams.
-	KeepsOrigins bool `cbor:"18,keyasint,omitempty"`
+	KeepsOrigins bool         `cbor:"18,keyasint,omitempty"`
+	Notes        []notes.Note `cbor:"19,keyasint,omitempty"`
 }
 
 // UnreachableNote names a backend server that the sender failed to reach.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -8,6 +8,7 @@
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
 	"github.com/mulberrystream/mulberrystream/pkg/catalog"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/notes"
 	"github.com/mulberrystream/mulberrystream/pkg/origin"
 	"github.com/mulberrystream/mulberrystream/pkg/outputlen"
 	"github.com/mulberrystream/mulberrystream/pkg/quarantine"
@@ -24,6 +25,7 @@
 	effects []Effect
 
 	roster          *roster.Roster
+	notes           *notes.Carrier
 	quota           *quota.Limiter
 	parts           *quarantine.Tracker
 	partNotesAt     time.Time             // last message of sendPartNotes
@@ -76,6 +78,7 @@
 		cfg:            cfg,
 		now:            now,
 		roster:         roster.New(cfg.Roster),
+		notes:          notes.New(cfg.Notes),
 		quota:          quota.New(cfg.Quota, now),
 		parts:          quarantine.New(cfg.Parts),
 		keepsLimits:    map[ident.HostID]bool{},
@@ -239,6 +242,7 @@
 	r.dropSilentHosts()
 	r.suspendSilentDomains()
 	r.parts.Tick(r.now)
+	r.notes.Expire(r.now)
 	r.updateServerLimits()
 	r.expireAsks()
 	r.tickOrigins()
@@ -249,7 +253,7 @@
 
 // sendHeartbeat sends this host's state to the others when a heartbeat is due.
 func (r *Relay) sendHeartbeat() {
-	if r.limitNewsDue() || r.backends.HasNewReport() || r.serverLimitNewsDue() {
+	if r.limitNewsDue() || r.backends.HasNewReport() || r.serverLimitNewsDue() || r.notes.HasUrgent() {
 		r.roster.ExpediteNext()
 	}
 	b, to, all := r.roster.Tick(r.now, !r.drainStartedAt.IsZero())
@@ -275,6 +279,7 @@
 		KeepsLimits:  true,
 		Limits:       r.backends.Limits().Notes(r.now),
 		KeepsOrigins: true,
+		Notes:        r.takeNotes(),
 	}
 	for id, l := range r.backends.OwnLoads() {
 		m.Load = append(m.Load, BackendLoad{Backend: id, Requests: l.Requests, Memory: l.Memory, Prompt: l.Prompt})
@@ -333,6 +338,7 @@
 	r.setKeeper(from.ID, m.KeepsOrigins)
 	r.applyOriginMessage(m)
 	r.applyPeerRoles(from.ID, restarted, m)
+	r.applyNotes(m, restarted)
 }
 
 func (r *Relay) applyUnreachableReports(notes []UnreachableNote) {
