relayhost: one place ends an exchange, without a response it closes the connection

Cause: exchange.run returned normally when the caller's context had ended, and net/http then sent an empty 200, or the last chunk of a stream, to a caller that had closed only its sending side. A body that ended early was answered 400.

Change: run records whether a whole response was given, and end aborts the connection if not. A body that ends early closes the connection; one that times out gets 408.

--- a/pkg/relayhost/front.go
+++ b/pkg/relayhost/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math"
 	"net"
 	"net/http"
@@ -33,6 +34,7 @@
 	x.spec.Content = ident.HashContent(r.RequestURI, body)
 	h.core.step(relay.Arrived{ID: j.id, Spec: x.spec})
 	x.run()
+	x.end()
 }
 
 func (h *Host) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
@@ -51,10 +53,19 @@
 		return
 	}
 	h.log.Debug("relayhost: reading request failed", zap.String("peer", r.RemoteAddr), zap.Error(err))
-	// The caller disconnected or sent a malformed body; either way the connection
-	// cannot be reused.
-	w.Header().Set("Connection", "close")
-	writeStatus(w, http.StatusBadRequest, 0)
+	var netErr net.Error
+	switch {
+	case errors.As(err, &netErr) && netErr.Timeout():
+		w.Header().Set("Connection", "close")
+		writeStatus(w, http.StatusRequestTimeout, 0)
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr), r.Context().Err() != nil:
+		// The caller has left within its body, so there is no request to answer.
+		abort(r)
+	default:
+		// The rest of a malformed body cannot be told from the next request.
+		w.Header().Set("Connection", "close")
+		writeStatus(w, http.StatusBadRequest, 0)
+	}
 }
 
 // writeStatus writes an answer without a body from this host itself.
@@ -83,12 +94,13 @@
 
 	prefillLink   *sendonce.Link  // over which the last prefill was answered
 	buffered      *bufferedAnswer // last complete answer from a backend server
+	answered      bool            // the caller has been given a whole response
 	headerSent    bool            // the header of the stream has been sent
 	lastEventID   string          // id of the last event sent to the caller
 	eventsRelayed int             // events sent to the caller
 }
 
-// run executes the effects of the request until its final answer.
+// run executes the effects of the request until its final answer, or until the caller leaves.
 func (x *exchange) run() {
 	for {
 		select {
@@ -113,12 +125,13 @@
 	case relay.Refuse:
 		writeStatus(x.w, e.Status, e.RetryAfter)
 		x.host.metrics.countAnswer(e.Status)
+		x.answered = true
 		return true
 	case relay.Deliver:
-		x.writeBuffered()
+		x.answered = x.writeBuffered()
 		return true
 	case relay.AbortAnswer:
-		x.abort()
+		return true
 	case relay.Call:
 		x.host.core.step(x.call(e))
 	case relay.Reserve:
@@ -128,25 +141,36 @@
 	case relay.Decode:
 		ended := x.decode(e)
 		x.host.core.step(ended)
-		return ended.Outcome == relay.Succeeded
+		x.answered = ended.Outcome == relay.Succeeded
+		return x.answered
 	}
 	return false
 }
 
+// end ends the exchange. Without a whole response it closes the connection: net/http would
+// otherwise send an empty 200, or the end of the stream, to a caller that still reads.
+func (x *exchange) end() {
+	if !x.answered {
+		abort(x.r)
+	}
+}
+
 // callerConn is the key of the caller's connection in the context of its requests.
 type callerConn struct{}
 
-// abort closes the connection so that the caller does not take the answer for complete.
-func (x *exchange) abort() {
-	if c, ok := x.r.Context().Value(callerConn{}).(*net.TCPConn); ok && !x.r.ProtoAtLeast(1, 1) {
+// abort closes the connection of a request so that its caller does not take the answer for
+// complete. It does not return.
+func abort(r *http.Request) {
+	if c, ok := r.Context().Value(callerConn{}).(*net.TCPConn); ok && !r.ProtoAtLeast(1, 1) {
 		// Without chunks, an orderly end of the connection is the end of the body.
 		_ = c.SetLinger(0)
 	}
 	panic(http.ErrAbortHandler)
 }
 
-// writeBuffered sends the buffered answer to the caller unchanged.
-func (x *exchange) writeBuffered() {
+// writeBuffered sends the buffered answer to the caller unchanged, and reports whether all of
+// it was written.
+func (x *exchange) writeBuffered() bool {
 	a := x.buffered
 	copyHeaders(x.w.Header(), a.header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
@@ -154,7 +178,9 @@
 	x.host.metrics.countAnswer(a.status)
 	if _, err := x.w.Write(a.body); err != nil {
 		x.host.log.Debug("relayhost: writing answer failed", zap.String("request_id", x.spec.RequestID), zap.Error(err))
+		return false
 	}
+	return true
 }
 
 func copyHeaders(dst, src http.Header) {
