--- a/cmd/mulberryrelay/main.go
+++ b/cmd/mulberryrelay/main.go
@@ -8,6 +8,7 @@
 	"github.com/alexflint/go-arg"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/mulberrystream/mulberrystream/internal/startsignals"
 	"github.com/mulberrystream/mulberrystream/platform"
 )
 
@@ -40,5 +41,7 @@
 	if s.RoleOrders != "on" && s.RoleOrders != "off" {
 		return fmt.Errorf("setting --role-orders is %q: want on or off", s.RoleOrders)
 	}
-	return platform.Run(platform.Options{LogLevel: level, RoleOrders: s.RoleOrders == "on"})
+	return platform.Run(platform.Options{
+		LogLevel: level, RoleOrders: s.RoleOrders == "on", Signals: startsignals.Received,
+	})
 }
