notes: an urgent note expedites one heartbeat

Cause: HasUrgent held until each urgent note had been in a heartbeat, and looked at all notes at each step. With more notes than fit, a host of a large fleet would send to all hosts every 50 ms. Change: it holds from Put to the next Take; the rest goes with regular heartbeats. Measured: specs of pkg/notes pass (go test ./pkg/notes).

--- a/pkg/notes/notes.go
+++ b/pkg/notes/notes.go
@@ -86,6 +86,7 @@
 	own      map[address]*ownNote
 	received map[ident.HostID]map[address]receipt
 	version  uint64
+	urgent   bool // see HasUrgent
 }
 
 type address struct {
@@ -128,23 +129,20 @@
 		return fmt.Errorf("notes: more than %d notes", maxNotes)
 	}
 	c.own[a] = &ownNote{Note: Note{Kind: kind, Key: key, Version: c.version, Body: data}, putAt: now}
+	c.urgent = c.urgent || c.cfg.Kinds[kind].Urgency > 1
 	return nil
 }
 
-// HasUrgent reports whether a note of an urgent kind has not been in any heartbeat yet.
-func (c *Carrier) HasUrgent() bool {
-	for _, n := range c.own {
-		if n.sent == 0 && c.cfg.Kinds[n.Kind].Urgency > 1 {
-			return true
-		}
-	}
-	return false
-}
+// HasUrgent reports whether a note of an urgent kind has been put since the last Take. Urgent
+// notes that did not fit wait for the next regular heartbeats: in a large fleet, heartbeats to
+// all hosts for each few of them would occupy the link.
+func (c *Carrier) HasUrgent() bool { return c.urgent }
 
 // Take returns the notes for one heartbeat, of which this host sends perSecond a second. A
 // note is repeated for Config.Repeat times interval, the time between two heartbeats to one
 // host.
 func (c *Carrier) Take(now time.Time, interval time.Duration, perSecond float64) []Note {
+	c.urgent = false
 	var due []*ownNote
 	for a, n := range c.own {
 		age := now.Sub(n.putAt)
