relay: a host acts for the fleet only while it hears most of it

Cause: a process that knew no other host used the retry slack of the whole fleet, gave role orders and used a failure domain's part of quotas and limits; after 30 s of a partition both sides did. A host that was not heard any more led beside the next one, and two hosts with equal hashes had one token. Change: retry slack, role orders, quota, limits of servers and probes of quarantined parts ask fleetview; heartbeats carry its report (CBOR key 21), orders use its slots. Whoever leads has done so for a lease and an interval. The slack of a new process fills from empty. A planned stop is told to all hosts at once. An order refused with 412 or 409 counts as one of another host.

--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -69,6 +69,7 @@
 	startedAt time.Time
 
 	assumedHosts int // size of the fleet while hosts are still being discovered, otherwise 0
+	knownHosts   int // see SetKnownHosts
 
 	// The number of reporting hosts is kept until recountAt, when the next of them could
 	// become silent: counting them for each organisation and report would dominate the
@@ -121,6 +122,11 @@
 	l.assumedHosts = assumed
 }
 
+// SetKnownHosts sets the number of hosts of the fleet that are known, this one included. It
+// may count hosts that have been silent for longer than Config.ForgetAfter: they may be cut
+// off and still admit requests.
+func (l *Limiter) SetKnownHosts(n int) { l.knownHosts = n }
+
 // SetLimit applies an organisation's limit.
 func (l *Limiter) SetLimit(now time.Time, org ident.Organisation, lim Limit) {
 	b := l.orgs[org]
@@ -146,7 +152,7 @@
 	if !now.Before(l.recountAt) {
 		l.recount(now)
 	}
-	return max(len(l.peers)+1, l.cfg.MinHosts, l.assumedHosts), l.reporting + 1
+	return max(len(l.peers)+1, l.cfg.MinHosts, l.assumedHosts, l.knownHosts), l.reporting + 1
 }
 
 // recount counts the peers that are reporting.
--- a/pkg/relay/drain.go
+++ b/pkg/relay/drain.go
@@ -5,6 +5,9 @@
 		return
 	}
 	r.drainStartedAt = r.now
+	// In a large fleet the others would not all hear of it before the process ends, and
+	// would count this host until fleetview.Config.Retention is over.
+	r.roster.ExpediteNext()
 	r.log(Decision{Step: "drain", Outcome: "started, host reports not ready"})
 }
 
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
 	"github.com/mulberrystream/mulberrystream/pkg/catalog"
+	"github.com/mulberrystream/mulberrystream/pkg/fleetview"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 	"github.com/mulberrystream/mulberrystream/pkg/notes"
 	"github.com/mulberrystream/mulberrystream/pkg/origin"
@@ -223,6 +224,8 @@
 	// KeepsOrigins says that the sender's program keeps the origins of streams.
 	KeepsOrigins bool         `cbor:"18,keyasint,omitempty"`
 	Notes        []notes.Note `cbor:"19,keyasint,omitempty"`
+	// Fleet is what the sender sees of the fleet; nil from older programs.
+	Fleet *fleetview.Report `cbor:"21,keyasint,omitempty"`
 }
 
 // UnreachableNote names a backend server that the sender failed to reach.
--- a/pkg/relay/parts.go
+++ b/pkg/relay/parts.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"slices"
 	"time"
 
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
@@ -46,15 +45,6 @@
 	r.parts.Crashed(r.now, e.From.ID, traits)
 }
 
-// probeTurn returns the position of this host in the order in which hosts probe a part.
-func (r *Relay) probeTurn(p ident.Trait) int {
-	ids := []ident.HostID{r.cfg.Roster.Self.ID}
-	for _, h := range r.roster.Alive(r.now) {
-		ids = append(ids, h.ID)
-	}
-	return slices.Index(ident.Rank(string(p), ids), r.cfg.Roster.Self.ID)
-}
-
 // quarantined ends a request if a part of its prompt has been quarantined since it was
 // admitted, and reports whether it did.
 func (r *Relay) quarantined(q *request) bool {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -7,6 +7,7 @@
 
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
 	"github.com/mulberrystream/mulberrystream/pkg/catalog"
+	"github.com/mulberrystream/mulberrystream/pkg/fleetview"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 	"github.com/mulberrystream/mulberrystream/pkg/notes"
 	"github.com/mulberrystream/mulberrystream/pkg/origin"
@@ -25,6 +26,7 @@
 	effects []Effect
 
 	roster          *roster.Roster
+	view            *fleetview.View
 	notes           *notes.Carrier
 	quota           *quota.Limiter
 	parts           *quarantine.Tracker
@@ -74,10 +76,12 @@
 // New returns a Relay that has no configuration yet.
 func New(cfg Config, now time.Time) *Relay {
 	cfg.Backends.Limits = serverlimit.New(cfg.Limits, now)
+	cfg.Fleet.Self, cfg.Fleet.Seeds = cfg.Roster.Self, cfg.Roster.Seeds
 	return &Relay{
 		cfg:            cfg,
 		now:            now,
 		roster:         roster.New(cfg.Roster),
+		view:           fleetview.New(cfg.Fleet, now),
 		notes:          notes.New(cfg.Notes),
 		quota:          quota.New(cfg.Quota, now),
 		parts:          quarantine.New(cfg.Parts),
@@ -156,6 +160,7 @@
 		r.messageReceived(e.Message)
 	case SeedsChanged:
 		r.roster.SetSeeds(e.Seeds)
+		r.view.SetSeeds(e.Seeds)
 	case Drain:
 		r.drain()
 	case HistoryRead:
@@ -231,6 +236,7 @@
 func (r *Relay) age() time.Duration { return r.now.Sub(r.confirmedAt) }
 
 func (r *Relay) tick() {
+	r.updateView()
 	r.updateQuotaFleet()
 	r.quota.Tick(r.now)
 	if r.connected() {
@@ -279,6 +285,7 @@
 		KeepsLimits:  true,
 		Limits:       r.backends.Limits().Notes(r.now),
 		KeepsOrigins: true,
+		Fleet:        r.view.Report(),
 		Notes:        r.takeNotes(),
 	}
 	for id, l := range r.backends.OwnLoads() {
@@ -308,6 +315,7 @@
 	if restarted {
 		r.log(Decision{Step: "peer_restarted", Peer: m.Heartbeat.From.ID, Outcome: "its counters restart at zero"})
 	}
+	r.applyView(m)
 	from := m.Heartbeat.From
 	confirmedAt := r.now.Add(-time.Duration(m.AgeMS) * time.Millisecond)
 	r.peerConfirmedAt[from.ID] = confirmedAt
@@ -350,14 +358,15 @@
 }
 
 // updateQuotaFleet passes the known fleet state to the quota limiter. While a whole fleet
-// starts at once and its hosts have not found each other, the limiter assumes as many
-// entry hosts as there are backend servers.
+// starts at once and its hosts have not found each other, and until this host has known most
+// of them, the limiter assumes as many entry hosts as there are backend servers.
 func (r *Relay) updateQuotaFleet() {
 	assumed := 0
-	if !r.joinedRunningFleet && !r.roster.Converged(r.now) {
+	if !r.view.Established() || !r.joinedRunningFleet && !r.roster.Converged(r.now) {
 		assumed = r.backends.Size()
 	}
 	r.quota.SetFleet(r.roster.SilentAfter(), assumed)
+	r.quota.SetKnownHosts(r.view.Size())
 }
 
 // jointStartTolerance is the maximum difference in uptime between hosts that count as
@@ -365,7 +374,7 @@
 // the platform.
 const jointStartTolerance = 2 * time.Second
 
-// refreshBudgets sets this host's equal share of the fleet's retry slack.
+// refreshBudgets sets this host's share of the fleet's retry slack.
 func (r *Relay) refreshBudgets() {
 	floor, burst := r.retryShare()
 	for _, b := range r.budgets {
@@ -399,7 +408,7 @@
 }
 
 func (r *Relay) retryShare() (floor, burst float64) {
-	share := r.cfg.RetrySlack * retryMargin / float64(r.roster.Size())
+	share := r.cfg.RetrySlack * retryMargin * r.view.Share()
 	return share * retryFloorShare / r.cfg.RetryWindow.Seconds(), share * retryBurstShare
 }
 
@@ -414,6 +423,11 @@
 			PerRequest: maxRetries,
 			Window:     r.cfg.RetryWindow,
 		}, r.now)
+		if at := r.view.SettledAt(); !r.view.Whole() {
+			// Until this host could use its part of the slack, the process before it or other
+			// hosts may have used that.
+			b.EmptyFloor(r.now, at)
+		}
 		r.budgets[service] = b
 	}
 	return b
--- a/pkg/relay/roles.go
+++ b/pkg/relay/roles.go
@@ -3,10 +3,9 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
 	"github.com/mulberrystream/mulberrystream/pkg/catalog"
+	"github.com/mulberrystream/mulberrystream/pkg/fleetview"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 	"github.com/mulberrystream/mulberrystream/pkg/rolesplit"
 )
@@ -150,9 +149,9 @@
 
 // isRoleLeader reports whether this host may give role orders. It must be able to read the
 // platform, have a configuration that is not stale, not be draining, and have been up for
-// orderLease. The live hosts, this one included, must be a majority of the known hosts,
-// and this host must have the lowest id among them. No other host may have given an order
-// within orderLease.
+// orderLease. It must have led the fleet for orderLease and a heartbeat interval: the host
+// that led before notices as much later that it does not any more, and may have given an
+// order that it has not reported. No other host may have given an order within orderLease.
 func (r *Relay) isRoleLeader() bool {
 	if r.snapshot == nil || r.stale() || !r.connected() || !r.drainStartedAt.IsZero() || r.now.Sub(r.startedAt) < orderLease {
 		return false
@@ -160,11 +159,8 @@
 	if r.now.Sub(r.roles.peerOrderAt) < orderLease {
 		return false
 	}
-	alive := r.roster.Alive(r.now)
-	if 2*(len(alive)+1) <= r.roster.Size() {
-		return false
-	}
-	return len(alive) == 0 || r.cfg.Roster.Self.ID < alive[0].ID
+	since := r.view.LeadingSince()
+	return !since.IsZero() && r.now.Sub(since) >= orderLease+r.roster.Interval()
 }
 
 func (r *Relay) planRoles(service ident.Route, sv *catalog.Service) {
@@ -189,7 +185,7 @@
 			Step: "order", Backend: t.ID, Version: r.snapshot.Version, Age: r.age(),
 			Outcome: from.String() + " to " + to.String(),
 		})
-		r.emit(RoleOrder{To: t, Stage: to, FencingToken: r.fencingToken()})
+		r.emit(RoleOrder{To: t, Stage: to, FencingToken: r.fencingToken(r.view.UseSlot())})
 	}
 }
 
@@ -216,9 +212,9 @@
 	}) >= decodeShortThreshold
 }
 
-// fencesPerRevision is the number of distinct fencing tokens per store revision; hosts
-// are hashed onto them.
-const fencesPerRevision = 1 << 12
+// fencesPerRevision is the number of distinct fencing tokens per store revision, see
+// fleetview.View.Slot.
+const fencesPerRevision = fleetview.Slots
 
 // fencesPerEra is the number of distinct fencing tokens per era of the store, in which
 // revisions are assigned again from a lower one. Tokens stay below 2^53, up to which JSON
@@ -226,13 +222,21 @@
 const fencesPerEra = 1 << 44
 
 // fencingToken returns a token that grows with the revision of the platform's store,
-// which all hosts read, and differs between hosts at the same revision.
-func (r *Relay) fencingToken() uint64 {
-	return r.storeEra*fencesPerEra + r.storeRevision*fencesPerRevision + xxhash.Sum64String(string(r.cfg.Roster.Self.ID))%fencesPerRevision
+// which all hosts read, and differs between hosts that know each other at the same revision.
+func (r *Relay) fencingToken(slot uint64) uint64 {
+	return r.storeEra*fencesPerEra + r.storeRevision*fencesPerRevision + slot
 }
 
+const (
+	// statusStaleToken and statusSwitching are the statuses with which engines refuse an
+	// order: they have seen a higher fencing token, or already switch.
+	statusStaleToken = 412
+	statusSwitching  = 409
+)
+
 // orderAnswered drops an order that was refused. An order without an answer is kept,
-// because the engine may have accepted it.
+// because the engine may have accepted it. A refusal shows that another host, which this one
+// may not know, gives orders too.
 func (r *Relay) orderAnswered(e RoleOrderAnswered) {
 	outcome := "taken"
 	if !e.OK {
@@ -242,6 +246,12 @@
 	if e.OK || e.Status == 0 {
 		return
 	}
+	if e.Status == statusStaleToken {
+		r.view.Contradicted(r.now)
+	}
+	if e.Status == statusStaleToken || e.Status == statusSwitching {
+		r.roles.peerOrderAt = r.now
+	}
 	delete(r.roles.issued, e.Backend)
 	r.backends.MarkSwitching(e.Backend, backends.Plain, time.Time{})
 }
--- a/pkg/relay/serverlimits.go
+++ b/pkg/relay/serverlimits.go
@@ -48,7 +48,7 @@
 	}
 	r.limitsUpdatedAt = r.now
 	f := serverlimit.Fleet{
-		Silent: r.roster.Silent(r.now), Stopped: r.roster.Stopped(), MinHosts: r.cfg.Quota.MinHosts, HeartbeatInterval: r.roster.Interval(),
+		Silent: r.roster.Silent(r.now), Stopped: r.roster.Stopped(), MinHosts: r.assumedHosts(), HeartbeatInterval: r.roster.Interval(),
 	}
 	converged := r.roster.Converged(r.now)
 	if converged && r.drainStartedAt.IsZero() {
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -63,6 +63,16 @@
 	b.floorTokens = min(b.floorTokens, burst)
 }
 
+// EmptyFloor takes away what the floor has accumulated, except for the time since it may be
+// used; nothing if since is zero.
+func (b *Budget) EmptyFloor(now, since time.Time) {
+	b.advance(now)
+	b.floorTokens = 0
+	if !since.IsZero() {
+		b.floorTokens = min(b.cfg.Burst, max(0, now.Sub(since).Seconds())*b.cfg.Floor)
+	}
+}
+
 // RecordFirst records a first attempt.
 func (b *Budget) RecordFirst(now time.Time) {
 	b.advance(now)
