relay: servers that leave or cannot be reached are told with notes

Cause: two kinds of updates between hosts have their own fields, repeated in full in each heartbeat. Change: they are notes; the old fields are sent while a host is known whose program does not read notes (Message.KeepsNotes, CBOR key 20), and are always read. Measured: four specs of pkg/relay/notes_test.go pass: notes alone between new programs, both forms beside an older one, whose fields decode, and both forms applied at another host.

--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -203,11 +203,13 @@
 	Used      map[ident.Organisation]int64 `cbor:"2,keyasint,omitempty"` // tokens admitted since the process started
 	Load      []BackendLoad                `cbor:"3,keyasint,omitempty"` // the sender's requests in flight
 	// Orders are the sender's recent role orders with their ages.
-	Orders      []OrderNote       `cbor:"4,keyasint,omitempty"`
-	Work        []WorkNote        `cbor:"5,keyasint,omitempty"` // totals since the process started
-	AgeMS       int64             `cbor:"6,keyasint,omitempty"` // age of the sender's configuration
-	UpMS        int64             `cbor:"7,keyasint,omitempty"` // uptime of the sender's process
-	Unreachable []UnreachableNote `cbor:"8,keyasint,omitempty"` // backend servers that the sender recently failed to reach
+	Orders []OrderNote `cbor:"4,keyasint,omitempty"`
+	Work   []WorkNote  `cbor:"5,keyasint,omitempty"` // totals since the process started
+	AgeMS  int64       `cbor:"6,keyasint,omitempty"` // age of the sender's configuration
+	UpMS   int64       `cbor:"7,keyasint,omitempty"` // uptime of the sender's process
+	// Unreachable are the backend servers that the sender recently failed to reach. Like
+	// Leaving, it is sent while a host is known that does not read notes.
+	Unreachable []UnreachableNote `cbor:"8,keyasint,omitempty"`
 	Version     uint64            `cbor:"9,keyasint,omitempty"` // of the sender's configuration
 	// Relayed are admitted tokens that other hosts reported to the sender, see aggregators.
 	Relayed []quota.RelayedUse `cbor:"10,keyasint,omitempty"`
@@ -224,6 +226,8 @@
 	// KeepsOrigins says that the sender's program keeps the origins of streams.
 	KeepsOrigins bool         `cbor:"18,keyasint,omitempty"`
 	Notes        []notes.Note `cbor:"19,keyasint,omitempty"`
+	// KeepsNotes says that the sender's program reads Unreachable and Leaving from notes.
+	KeepsNotes bool `cbor:"20,keyasint,omitempty"`
 	// Fleet is what the sender sees of the fleet; nil from older programs.
 	Fleet *fleetview.Report `cbor:"21,keyasint,omitempty"`
 }
--- a/pkg/relay/fleetview.go
+++ b/pkg/relay/fleetview.go
@@ -13,7 +13,7 @@
 // applyView passes a heartbeat of another host to the view of the fleet.
 func (r *Relay) applyView(m Message) {
 	r.view.Heard(r.now, fleetview.Heartbeat{
-		From: m.Heartbeat.From, Leaving: m.Heartbeat.Leaving, Known: m.Heartbeat.Known, Report: m.Fleet,
+		From: m.Heartbeat.From, Leaving: m.Heartbeat.Leaving, Known: m.Heartbeat.Known, KeepsNotes: m.KeepsNotes, Report: m.Fleet,
 	})
 	r.updateView()
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -27,6 +27,8 @@
 
 	roster          *roster.Roster
 	view            *fleetview.View
+	toldUnreachable map[ident.BackendID]time.Time // failures that are in notes
+	toldLeaving     map[ident.BackendID]time.Time // when the announcement was last put in a note
 	notes           *notes.Carrier
 	quota           *quota.Limiter
 	parts           *quarantine.Tracker
@@ -95,6 +97,9 @@
 		requests:       map[ID]*request{},
 		admissionRates: map[ident.Route]*rate{},
 
+		toldUnreachable: map[ident.BackendID]time.Time{},
+		toldLeaving:     map[ident.BackendID]time.Time{},
+
 		peerConfirmedAt:  map[ident.HostID]time.Time{},
 		avoidReaderUntil: map[ident.HostID]time.Time{},
 		rng:              rand.New(rand.NewPCG(cfg.Backends.Seed, 1)),
@@ -285,18 +290,14 @@
 		KeepsLimits:  true,
 		Limits:       r.backends.Limits().Notes(r.now),
 		KeepsOrigins: true,
+		KeepsNotes:   true,
 		Fleet:        r.view.Report(),
 		Notes:        r.takeNotes(),
 	}
 	for id, l := range r.backends.OwnLoads() {
 		m.Load = append(m.Load, BackendLoad{Backend: id, Requests: l.Requests, Memory: l.Memory, Prompt: l.Prompt})
 	}
-	for _, d := range r.backends.UnreachableReports(r.now) {
-		m.Unreachable = append(m.Unreachable, UnreachableNote{Backend: d.ID, AgeMS: d.Age.Milliseconds()})
-	}
-	for _, l := range r.backends.LeavingReports(r.now) {
-		m.Leaving = append(m.Leaving, LeavingNote{Backend: l.ID, StartedAt: l.StartedAt})
-	}
+	r.addOldNotes(&m)
 	r.emit(Send{To: to, Message: m})
 }
 
