--- a/pkg/fleetview/fleetview.go
+++ b/pkg/fleetview/fleetview.go
@@ -264,16 +264,20 @@
 	return !slices.ContainsFunc(v.cfg.Seeds, func(addr string) bool { return addr != v.cfg.Self.Addr })
 }
 
-// minRecount is the minimum time between two counts of the hosts: while those of a large fleet
-// meet, each heartbeat changes something.
-const minRecount = 10 * time.Millisecond
+// minRecount is the minimum time between two counts of the hosts, and recountsPerInterval
+// bounds their number in a heartbeat interval: while the hosts of a large fleet meet, each
+// heartbeat changes something.
+const (
+	minRecount          = 10 * time.Millisecond
+	recountsPerInterval = 50
+)
 
 // maxRecount is the maximum time between two counts, with which silent hosts are forgotten.
 const maxRecount = 5 * time.Second
 
 // changed has the hosts counted anew soon.
 func (v *View) changed() {
-	if at := v.countedAt.Add(minRecount); at.Before(v.recountAt) {
+	if at := v.countedAt.Add(max(minRecount, v.timing.Interval/recountsPerInterval)); at.Before(v.recountAt) {
 		v.recountAt = at
 	}
 }
