notes: ages out of range are ignored

Cause: an age of 1e13 ms overflows a time.Duration, so the note counted as new. Change: ages are compared in milliseconds before they are converted. Measured: the case added to the spec of dropped notes fails before and passes now.

--- a/pkg/notes/notes.go
+++ b/pkg/notes/notes.go
@@ -196,10 +196,10 @@
 	var fresh []Received
 	for _, n := range notes {
 		traits, known := c.cfg.Kinds[n.Kind]
-		age := time.Duration(max(0, n.AgeMS)) * time.Millisecond
-		if !known || age > traits.Lifetime || len(n.Key) > maxKeyBytes || len(n.Body) > maxBodyBytes {
+		if !known || n.AgeMS > traits.Lifetime.Milliseconds() || len(n.Key) > maxKeyBytes || len(n.Body) > maxBodyBytes {
 			continue
 		}
+		age := time.Duration(max(0, n.AgeMS)) * time.Millisecond
 		versions := c.received[from]
 		if versions == nil {
 			versions = map[address]receipt{}
--- a/pkg/notes/notes_test.go
+++ b/pkg/notes/notes_test.go
@@ -92,6 +92,7 @@
 	It("drops notes that are too old, of an unknown kind or too long", func() {
 		for _, n := range []notes.Note{
 			{Kind: notes.Unreachable, Key: "s", Version: 1, AgeMS: 2001},
+			{Kind: notes.Unreachable, Key: "s", Version: 1, AgeMS: 1e13}, // overflows a time.Duration
 			{Kind: 200, Key: "s", Version: 1},
 			{Kind: notes.Unreachable, Key: strings.Repeat("k", 300), Version: 1},
 			{Kind: notes.Unreachable, Key: "s", Version: 1, Body: make([]byte, 5000)},
--- a/pkg/relay/notes.go
+++ b/pkg/relay/notes.go
@@ -95,8 +95,9 @@
 	switch n.Kind {
 	case notes.Unreachable:
 		var body unreachableBody
-		if r.decodeNote(n, &body) {
-			age := r.now.Sub(n.At) + time.Duration(max(0, body.AgeMS))*time.Millisecond
+		lifetime := r.cfg.Notes.Kinds[notes.Unreachable].Lifetime
+		if r.decodeNote(n, &body) && body.AgeMS >= 0 && body.AgeMS <= lifetime.Milliseconds() {
+			age := r.now.Sub(n.At) + time.Duration(body.AgeMS)*time.Millisecond
 			r.backends.ApplyReports(r.now, []backends.UnreachableReport{{ID: ident.BackendID(n.Key), Age: age}})
 		}
 	case notes.Leaving:
