fleetview: hosts that stop share until they end; hosts that were only named are forgotten sooner

Cause: hosts that all stop at once each had the whole slack while they still accept requests; one heartbeat could name hosts that do not exist, which counted for 10 minutes and were reported further; a predecessor at this host's address counted. Change: hosts that stop count in the divisor until a retry window after their last heartbeat; hosts that were never heard are forgotten after 30 s and not reported; the number of hosts is bounded; other ids at this host's address are ignored. The spec of stopped hosts reads the divisor after that window.

--- a/pkg/fleetview/fleetview.go
+++ b/pkg/fleetview/fleetview.go
@@ -39,6 +39,12 @@
 	// time lets the others use its part sooner; after a partition of that length each side
 	// takes itself for the whole fleet.
 	Retention time.Duration
+	// NamedRetention is how long a host is counted that only others have named.
+	NamedRetention time.Duration
+	// StopWindow is how long a host that announced its stop counts among those that share
+	// with this one, after its last heartbeat: it serves until then, and what it has used
+	// counts in a window of that length.
+	StopWindow time.Duration
 	// MinSettle is the least time without a new host after which the hosts that can be
 	// reached are assumed to be known. It must exceed the interval of heartbeats to seeds.
 	MinSettle time.Duration
@@ -50,12 +56,14 @@
 
 // DefaultConfig returns the default times.
 func DefaultConfig() Config {
-	return Config{Retention: DefaultRetention, MinSettle: 1500 * time.Millisecond}
+	return Config{
+		Retention: DefaultRetention, NamedRetention: 30 * time.Second, StopWindow: 10 * time.Second, MinSettle: 1500 * time.Millisecond,
+	}
 }
 
 // Report is what a host tells the others of its view.
 type Report struct {
-	Known int    `cbor:"1,keyasint,omitempty"` // hosts that the sender counts, itself included
+	Known int    `cbor:"1,keyasint,omitempty"` // hosts that the sender has heard and counts, itself included
 	Slot  uint64 `cbor:"2,keyasint,omitempty"` // 1 + the slot of its fencing tokens, 0 if it has used none
 	// Leader identifies the host with the lowest id of those that the sender hears, itself
 	// included, by a hash of the id.
@@ -65,8 +73,9 @@
 // leaderHash returns the hash of an id in a Report. It is not 0.
 func leaderHash(id ident.HostID) uint32 { return uint32(xxhash.Sum64String(string(id))>>33) + 1 }
 
-// maxKnown bounds the number of hosts that another host may report. Larger ones are ignored.
-const maxKnown = 1 << 16
+// maxKnown bounds the number of hosts that are remembered or that another host may report: ten
+// times the largest fleet that is planned. Larger reports are ignored.
+const maxKnown = 1 << 14
 
 // Timing is the pace of heartbeats, see roster.Roster.
 type Timing struct {
@@ -91,7 +100,9 @@
 	state        State
 	live         int // hosts that are heard, this one included
 	counted      int // known hosts, this one included
-	size         int
+	heard        int // counted hosts that were heard, this one included
+	size         int // counted by this host, or by a live one
+	sharing      int // size and the hosts that stop
 	domains      int // failure domains of the known hosts
 	keepNotes    bool
 	lowest       ident.HostID // of the live hosts, this one included
@@ -112,6 +123,7 @@
 	heardAt   time.Time // last heartbeat; zero for a host known only from others' samples
 	knownAt   time.Time // last heartbeat, or when another host last named it
 	gone      bool      // it has announced its stop, or another host has its address
+	stopping  bool      // it has announced its stop
 	keepNotes bool
 	report    Report
 }
@@ -144,7 +156,7 @@
 
 // Heard applies a heartbeat that is newer than the last one of its sender.
 func (v *View) Heard(now time.Time, hb Heartbeat) {
-	if hb.From.ID == v.cfg.Self.ID {
+	if !v.isOther(hb.From) {
 		return
 	}
 	for _, h := range hb.Known {
@@ -166,18 +178,26 @@
 	}
 	v.setHost(r, hb.From)
 	r.heardAt, r.knownAt = now, now
-	r.gone, r.keepNotes, r.report = hb.Leaving, hb.KeepsNotes, report
+	r.gone, r.stopping, r.keepNotes, r.report = hb.Leaving, hb.Leaving, hb.KeepsNotes, report
+}
+
+// isOther reports whether a host is neither this one nor one that had its address before.
+func (v *View) isOther(h roster.Host) bool {
+	return h.ID != v.cfg.Self.ID && (h.Addr != v.cfg.Self.Addr || h.Addr == "")
 }
 
 // learn applies that another host considers a host alive.
 func (v *View) learn(now time.Time, h roster.Host) {
-	if h.ID == v.cfg.Self.ID {
+	if !v.isOther(h) {
 		return
 	}
 	if holder := v.hosts[v.byAddr[h.Addr]]; holder != nil && holder.ID != h.ID && v.isLive(now, holder) {
 		return // the sender has not heard yet that the host was replaced
 	}
 	r := v.hosts[h.ID]
+	if r == nil && len(v.hosts) >= maxKnown {
+		return
+	}
 	if r == nil {
 		v.setHost(v.add(now, h), h)
 		return
@@ -287,15 +307,22 @@
 	v.countedAt = now
 	v.expire(now)
 	v.recountAt = now.Add(maxRecount)
-	v.live, v.counted, v.keepNotes = 1, 1, true
+	v.live, v.counted, v.heard, v.keepNotes = 1, 1, 1, true
+	stopping := 0
 	v.lowest = v.cfg.Self.ID
 	reported, votes, self := 0, 1, leaderHash(v.cfg.Self.ID)
 	domains := map[ident.FailureDomain]struct{}{v.cfg.Self.Domain: {}}
 	for id, r := range v.hosts {
+		if r.stopping && now.Sub(r.heardAt) < v.cfg.StopWindow {
+			stopping++
+		}
 		if r.gone {
 			continue
 		}
 		v.counted++
+		if !r.heardAt.IsZero() {
+			v.heard++
+		}
 		domains[r.Domain] = struct{}{}
 		v.keepNotes = v.keepNotes && r.keepNotes
 		if !v.isLive(now, r) {
@@ -313,6 +340,7 @@
 	}
 	v.domains = len(domains)
 	v.size = max(v.counted, reported)
+	v.sharing = v.size + stopping
 	v.state = v.decide(now)
 	v.member = v.member || v.state == Member && v.met
 	switch {
@@ -346,7 +374,7 @@
 	}
 	v.expiredAt = now
 	for id, r := range v.hosts {
-		if now.Sub(r.knownAt) < v.cfg.Retention {
+		if now.Sub(r.knownAt) < v.cfg.Retention && (!r.heardAt.IsZero() || now.Sub(r.knownAt) < v.cfg.NamedRetention) {
 			continue
 		}
 		delete(v.hosts, id)
@@ -360,8 +388,8 @@
 func (v *View) State() State { return v.state }
 
 // Size returns the number of hosts among which what they share is divided: those that this
-// host counts, or more if a live host counts more.
-func (v *View) Size() int { return v.size }
+// host counts, or more if a live host counts more, and those that stop.
+func (v *View) Size() int { return v.sharing }
 
 // Live returns the number of hosts that are heard, this one included.
 func (v *View) Live() int { return v.live }
@@ -381,7 +409,7 @@
 	if v.state == Alone || v.settledAt.IsZero() || v.live == 1 && v.met && !v.member {
 		return 0
 	}
-	share := 1 / float64(v.size)
+	share := 1 / float64(v.sharing)
 	if v.domains < v.cfg.Domains {
 		share *= float64(v.domains) / float64(v.cfg.Domains)
 	}
@@ -396,9 +424,9 @@
 // little is known of the others: at least fallback until this host is established.
 func (v *View) Assumed(fallback int) int {
 	if v.Established() {
-		return v.size
+		return v.sharing
 	}
-	return max(v.size, fallback)
+	return max(v.sharing, fallback)
 }
 
 // LeadingSince returns since when this host has led the fleet without a pause, or the zero
@@ -425,7 +453,7 @@
 
 // Report returns what the other hosts should know of this view.
 func (v *View) Report() *Report {
-	r := Report{Known: v.counted, Leader: leaderHash(v.lowest)}
+	r := Report{Known: v.heard, Leader: leaderHash(v.lowest)}
 	if v.slotUsed {
 		r.Slot = v.slot + 1
 	}
--- a/pkg/fleetview/fleetview_test.go
+++ b/pkg/fleetview/fleetview_test.go
@@ -144,9 +144,40 @@
 			v.heard[hb.From.ID] = hb
 			v.silence(id)
 		}
-		v.run(10 * time.Second)
-		Expect(v.Size()).To(Equal(4))
-		Expect(v.State()).To(Equal(fleetview.Member))
+		Expect(v.run(10 * time.Second).State()).To(Equal(fleetview.Member))
+		Expect(v.run(10 * time.Second).Size()).To(Equal(4))
+	})
+
+	// Guards against hosts that each use the whole slack while all of them stop: they accept
+	// requests for some time after they have announced it.
+	It("divides among the hosts that stop until their last use is over", func() {
+		v := newView(unchanged).hear(1, 8).run(3 * time.Second)
+		for id, hb := range v.heard {
+			hb.Leaving = true
+			v.heard[id] = hb
+		}
+		v.run(3 * time.Second)
+		Expect(v.Share()).To(Equal(1.0 / 8))
+		v.heard = map[ident.HostID]fleetview.Heartbeat{}
+		Expect(v.run(5 * time.Second).Share()).To(Equal(1.0 / 8))
+		Expect(v.run(15 * time.Second).Share()).To(Equal(1.0))
+	})
+
+	// Guards against a fleet that does not act for the retention period because of hosts that
+	// one heartbeat named and that never existed, or because of the predecessor of this host.
+	It("forgets hosts that were only named sooner, and ignores others at its own address", func() {
+		v := newView(unchanged).hear(1, 4).run(3 * time.Second)
+		hb := v.heard["h001"]
+		for i := range 100 {
+			hb.Known = append(hb.Known, roster.Host{ID: ident.HostID(fmt.Sprint("x", i)), Addr: fmt.Sprint("x", i)})
+		}
+		v.Heard(v.now, hb)
+		Expect(v.run(time.Second).State()).To(Equal(fleetview.Separated))
+		Expect(v.Report().Known).To(Equal(4), "only hosts that were heard are reported")
+		Expect(v.run(40 * time.Second).State()).To(Equal(fleetview.Member))
+		hb.Known = []roster.Host{{ID: "predecessor", Addr: "a0"}}
+		v.Heard(v.now, hb)
+		Expect(v.run(time.Second).Size()).To(Equal(4))
 	})
 
 	// Guards against a process that starts in the smaller part of a fleet and knows only that.
--- a/pkg/relay/config.go
+++ b/pkg/relay/config.go
@@ -24,7 +24,7 @@
 	Limits   serverlimit.Config
 	Origins  origin.Config
 	Notes    notes.Config
-	Fleet    fleetview.Config // New sets Self and Seeds to those of Roster
+	Fleet    fleetview.Config // New sets Self and Seeds to those of Roster and StopWindow to RetryWindow
 
 	// StaleAfter is the age of the configuration beyond which requests that need a
 	// key are refused, because the key may have been revoked since. It is the
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -78,7 +78,7 @@
 // New returns a Relay that has no configuration yet.
 func New(cfg Config, now time.Time) *Relay {
 	cfg.Backends.Limits = serverlimit.New(cfg.Limits, now)
-	cfg.Fleet.Self, cfg.Fleet.Seeds = cfg.Roster.Self, cfg.Roster.Seeds
+	cfg.Fleet.Self, cfg.Fleet.Seeds, cfg.Fleet.StopWindow = cfg.Roster.Self, cfg.Roster.Seeds, cfg.RetryWindow
 	return &Relay{
 		cfg:            cfg,
 		now:            now,
