--- a/pkg/fleetview/fleetview.go
+++ b/pkg/fleetview/fleetview.go
@@ -37,7 +37,7 @@
 	Domains int
 	// Retention is how long a host that went silent without notice is counted. A shorter
 	// time lets the others use its part sooner; after a partition of that length each side
-	// takes itself for the whole fleet.
+	// acts as the whole fleet.
 	Retention time.Duration
 	// NamedRetention is how long a host is counted that only others have named.
 	NamedRetention time.Duration
@@ -91,11 +91,11 @@
 	hosts     map[ident.HostID]*record
 	byAddr    map[string]ident.HostID
 
-	met       bool // a heartbeat from another host has been received
-	member    bool // this host has been a Member
-	lastJoin  time.Time
-	settledAt time.Time // zero until settled
-	refutedAt time.Time // see Contradicted
+	heardAny     bool // a heartbeat from another host has been received
+	member       bool // this host has been a Member
+	lastJoin     time.Time
+	settledAt    time.Time // zero until settled
+	staleTokenAt time.Time // see RecordStaleToken
 
 	state        State
 	live         int // hosts that are heard, this one included
@@ -162,8 +162,8 @@
 	for _, h := range hb.Known {
 		v.learn(now, h)
 	}
-	if !v.met {
-		v.met, v.settledAt = true, time.Time{}
+	if !v.heardAny {
+		v.heardAny, v.settledAt = true, time.Time{}
 	}
 	r := v.hosts[hb.From.ID]
 	if r == nil {
@@ -228,10 +228,10 @@
 	v.byAddr[h.Addr] = h.ID
 }
 
-// Contradicted records that a backend server has refused an order of this host because it
-// has seen a higher fencing token: a host that takes itself for the whole fleet is not.
-func (v *View) Contradicted(now time.Time) {
-	v.refutedAt = now
+// RecordStaleToken records that a backend server has refused an order of this host because it
+// has seen a higher fencing token: a host without other seeds is not the whole fleet.
+func (v *View) RecordStaleToken(now time.Time) {
+	v.staleTokenAt = now
 	v.changed()
 }
 
@@ -266,19 +266,19 @@
 
 // settle determines whether the reachable hosts are known, and reports whether that is new.
 func (v *View) settle(now time.Time) bool {
-	if !v.settledAt.IsZero() || !v.met && !v.sole(now) {
+	if !v.settledAt.IsZero() || !v.heardAny && !v.singleHost(now) {
 		return false
 	}
-	if v.met && now.Sub(v.lastJoin) < max(v.cfg.MinSettle, settleIntervals*v.timing.Interval) {
+	if v.heardAny && now.Sub(v.lastJoin) < max(v.cfg.MinSettle, settleIntervals*v.timing.Interval) {
 		return false
 	}
 	v.settledAt = now
 	return true
 }
 
-// sole reports whether the settings name no other host and nothing else speaks for one.
-func (v *View) sole(now time.Time) bool {
-	if v.met || v.cfg.Domains > 1 || !v.refutedAt.IsZero() && now.Sub(v.refutedAt) < v.cfg.Retention {
+// singleHost reports whether the settings name no other host and there is no other sign of one.
+func (v *View) singleHost(now time.Time) bool {
+	if v.heardAny || v.cfg.Domains > 1 || !v.staleTokenAt.IsZero() && now.Sub(v.staleTokenAt) < v.cfg.Retention {
 		return false
 	}
 	return !slices.ContainsFunc(v.cfg.Seeds, func(addr string) bool { return addr != v.cfg.Self.Addr })
@@ -342,7 +342,7 @@
 	v.size = max(v.counted, reported)
 	v.sharing = v.size + stopping
 	v.state = v.decide(now)
-	v.member = v.member || v.state == Member && v.met
+	v.member = v.member || v.state == Member && v.heardAny
 	switch {
 	case v.state != Member || v.lowest != v.cfg.Self.ID || 2*votes <= v.size:
 		v.leadingSince = time.Time{}
@@ -353,9 +353,9 @@
 
 func (v *View) decide(now time.Time) State {
 	switch {
-	case v.sole(now):
+	case v.singleHost(now):
 		return Member
-	case !v.met:
+	case !v.heardAny:
 		return Alone
 	case v.live == 1 || 2*v.live <= v.size:
 		return Separated
@@ -397,16 +397,16 @@
 // SettledAt returns since when the reachable hosts are known, or the zero time.
 func (v *View) SettledAt() time.Time { return v.settledAt }
 
-// Whole reports whether the settings name no other host and nothing else speaks for one: such
+// SingleHost reports whether the settings name no other host and there is no other sign of one: such
 // a host is the whole fleet, and a Member.
-func (v *View) Whole() bool { return v.sole(v.updatedAt) }
+func (v *View) SingleHost() bool { return v.singleHost(v.updatedAt) }
 
 // Share returns the part of an amount shared by all hosts that this one may use: none while
 // it is alone or still learns of others, nor if it was cut off from all before it knew most.
 // Failure domains of which no host is known yet count with as many hosts as the others have
 // on average.
 func (v *View) Share() float64 {
-	if v.state == Alone || v.settledAt.IsZero() || v.live == 1 && v.met && !v.member {
+	if v.state == Alone || v.settledAt.IsZero() || v.live == 1 && v.heardAny && !v.member {
 		return 0
 	}
 	share := 1 / float64(v.sharing)
@@ -418,7 +418,7 @@
 
 // Established reports whether this host has known most of the fleet at some time, so that the
 // number of known hosts says how large it is.
-func (v *View) Established() bool { return v.member || v.Whole() }
+func (v *View) Established() bool { return v.member || v.SingleHost() }
 
 // Assumed returns the number of hosts to assume where a part must be divided although
 // little is known of the others: at least fallback until this host is established.
--- a/pkg/fleetview/fleetview_test.go
+++ b/pkg/fleetview/fleetview_test.go
@@ -90,7 +90,7 @@
 		v := newView(func(c *fleetview.Config) { c.Seeds, c.Domains = []string{"a0"}, 1 }).run(time.Second)
 		Expect(v.State()).To(Equal(fleetview.Member))
 		Expect(v.Share()).To(Equal(1.0))
-		v.Contradicted(v.now)
+		v.RecordStaleToken(v.now)
 		v.run(time.Second)
 		Expect(v.State()).To(Equal(fleetview.Alone))
 		Expect(v.Share()).To(BeZero())
--- a/pkg/relay/fleet_test.go
+++ b/pkg/relay/fleet_test.go
@@ -445,7 +445,7 @@
 		}
 	})
 
-	// Guards against a host that takes itself for the whole fleet although an engine has seen
+	// Guards against a host that acts as the whole fleet although an engine has seen
 	// the orders of another.
 	It("are not given any more by a fleet of one host when an engine refuses a fencing token", func() {
 		f := newRoleFleet(1)
--- a/pkg/relay/notes.go
+++ b/pkg/relay/notes.go
@@ -35,21 +35,21 @@
 	for _, d := range r.backends.UnreachableReports(r.now) {
 		failed[d.ID] = true
 		at := r.now.Add(-d.Age)
-		if told, ok := r.toldUnreachable[d.ID]; !ok || at.After(told) {
-			r.toldUnreachable[d.ID] = at
+		if announced, ok := r.announcedUnreachable[d.ID]; !ok || at.After(announced) {
+			r.announcedUnreachable[d.ID] = at
 			r.putNote(notes.Unreachable, string(d.ID), unreachableBody{AgeMS: d.Age.Milliseconds()})
 		}
 	}
-	maps.DeleteFunc(r.toldUnreachable, func(id ident.BackendID, _ time.Time) bool { return !failed[id] })
+	maps.DeleteFunc(r.announcedUnreachable, func(id ident.BackendID, _ time.Time) bool { return !failed[id] })
 	leaving := make(map[ident.BackendID]bool)
 	for _, l := range r.backends.LeavingReports(r.now) {
 		leaving[l.ID] = true
-		if told, ok := r.toldLeaving[l.ID]; !ok || r.now.Sub(told) >= leavingRepeat*interval {
-			r.toldLeaving[l.ID] = r.now
+		if announced, ok := r.announcedLeaving[l.ID]; !ok || r.now.Sub(announced) >= leavingRepeat*interval {
+			r.announcedLeaving[l.ID] = r.now
 			r.putNote(notes.Leaving, string(l.ID), leavingBody{StartedAt: l.StartedAt})
 		}
 	}
-	maps.DeleteFunc(r.toldLeaving, func(id ident.BackendID, _ time.Time) bool { return !leaving[id] })
+	maps.DeleteFunc(r.announcedLeaving, func(id ident.BackendID, _ time.Time) bool { return !leaving[id] })
 }
 
 // leavingRepeat is the number of heartbeat intervals after which a note about a server that
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -25,25 +25,25 @@
 	now     time.Time
 	effects []Effect
 
-	roster          *roster.Roster
-	view            *fleetview.View
-	toldUnreachable map[ident.BackendID]time.Time // failures that are in notes
-	toldLeaving     map[ident.BackendID]time.Time // when the announcement was last put in a note
-	notes           *notes.Carrier
-	quota           *quota.Limiter
-	parts           *quarantine.Tracker
-	partNotesAt     time.Time             // last message of sendPartNotes
-	limitsUpdatedAt time.Time             // last call of updateServerLimits
-	limitNewsAt     time.Time             // last news of sendLimitMessages
-	keepsLimits     map[ident.HostID]bool // hosts whose program keeps the limits of servers
-	awaitingPermit  map[uint64]*request   // by ask
-	origins         *origin.Tracker
-	resumption      resumption
-	backends        *backends.Directory
-	budgets         map[ident.Route]*retry.Budget
-	queues          map[ident.Route]*queue
-	requests        map[ID]*request
-	admissionRates  map[ident.Route]*rate
+	roster               *roster.Roster
+	view                 *fleetview.View
+	announcedUnreachable map[ident.BackendID]time.Time // failures that are in notes
+	announcedLeaving     map[ident.BackendID]time.Time // when the announcement was last put in a note
+	notes                *notes.Carrier
+	quota                *quota.Limiter
+	parts                *quarantine.Tracker
+	partNotesAt          time.Time             // last message of sendPartNotes
+	limitsUpdatedAt      time.Time             // last call of updateServerLimits
+	limitNewsAt          time.Time             // last news of sendLimitMessages
+	keepsLimits          map[ident.HostID]bool // hosts whose program keeps the limits of servers
+	awaitingPermit       map[uint64]*request   // by ask
+	origins              *origin.Tracker
+	resumption           resumption
+	backends             *backends.Directory
+	budgets              map[ident.Route]*retry.Budget
+	queues               map[ident.Route]*queue
+	requests             map[ID]*request
+	admissionRates       map[ident.Route]*rate
 
 	snapshot    *catalog.Snapshot
 	confirmedAt time.Time // the snapshot is at least as recent as this
@@ -97,8 +97,8 @@
 		requests:       map[ID]*request{},
 		admissionRates: map[ident.Route]*rate{},
 
-		toldUnreachable: map[ident.BackendID]time.Time{},
-		toldLeaving:     map[ident.BackendID]time.Time{},
+		announcedUnreachable: map[ident.BackendID]time.Time{},
+		announcedLeaving:     map[ident.BackendID]time.Time{},
 
 		peerConfirmedAt:  map[ident.HostID]time.Time{},
 		avoidReaderUntil: map[ident.HostID]time.Time{},
@@ -424,7 +424,7 @@
 			PerRequest: maxRetries,
 			Window:     r.cfg.RetryWindow,
 		}, r.now)
-		if at := r.view.SettledAt(); !r.view.Whole() {
+		if at := r.view.SettledAt(); !r.view.SingleHost() {
 			// Until this host could use its part of the slack, the process before it or other
 			// hosts may have used that.
 			b.EmptyFloor(r.now, at)
--- a/pkg/relay/roles.go
+++ b/pkg/relay/roles.go
@@ -247,7 +247,7 @@
 		return
 	}
 	if e.Status == statusStaleToken {
-		r.view.Contradicted(r.now)
+		r.view.RecordStaleToken(r.now)
 	}
 	if e.Status == statusStaleToken || e.Status == statusSwitching {
 		r.roles.peerOrderAt = r.now
