backends, relay: refused reservations are information, and attempts are paced

Cause: a host asked for decode memory again every 20 ms for each waiting request, on loads that are a second old in a fleet of 77. While engines are full most attempts are refused.

Change: a refusal counts as hidden load of the engine, which later reports explain and which decays within their age. The other hosts learn of it with a note of kind Full. The attempts of a queue are paced after refusals: one at a time, with a pause from 60 ms to 2 s that successes halve. Without a pause, and while there is room for 1.5 times what other hosts may have placed unseen, choices are as before. Memory that a completed stream of this host has freed is used at once; a host without use for it offers it to one other host at a time (Message.Offers, key 30), up to ten, since the load reports would tell all hosts at about the same time.

--- a/pkg/backends/directory.go
+++ b/pkg/backends/directory.go
@@ -29,6 +29,7 @@
 	limits       *serverlimit.Limiter
 	withheld     map[ident.BackendID]int64 // start times of the processes withheld after a restore
 	withheldTill time.Time
+	reportAge    time.Duration // see SetReportAge
 }
 
 type server struct {
@@ -45,6 +46,8 @@
 	waitUntil   time.Time // it wants nothing from this host until then, see AskForTime
 	unusedUntil time.Time // the entry may be outdated until then, see StoreRestored
 	lastFull    time.Time // last rejection for lack of capacity
+	hidden      hiddenLoad
+	freed       freedMemory
 
 	switchTo    Stage // target stage of a pending switch
 	switchUntil time.Time
--- a/pkg/backends/pick.go
+++ b/pkg/backends/pick.go
@@ -30,6 +30,8 @@
 	// reached later than that: they may have started again with another version, which the
 	// list does not show yet.
 	ListedAsOf time.Time
+	// Freed restricts the choice to engines with memory that this host alone knows to be free.
+	Freed bool
 }
 
 const (
@@ -77,6 +79,15 @@
 			share, penalty = scarceShare, penalty+scarcePenalty
 		}
 		l := s.totalLoad()
+		l.Memory += s.hiddenMemory(now, d.reportAge)
+		if q.Freed {
+			// The known loads are older than what is known to be free.
+			freed := s.freedMemory(now)
+			l.Memory = min(l.Memory, q.MemoryPerServer-int64(float64(freed)/freedShare))
+			if freed == 0 {
+				return 0, false
+			}
+		}
 		if float64(l.Memory+q.Need.Memory) > share*float64(q.MemoryPerServer) || float64(l.Requests) >= share*float64(q.SlotsPerServer) {
 			return 0, false
 		}
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -223,6 +223,17 @@
 	// KeepsOrigins says that the sender's program keeps the origins of streams.
 	KeepsOrigins bool         `cbor:"18,keyasint,omitempty"`
 	Notes        []notes.Note `cbor:"19,keyasint,omitempty"`
+	// Offers are memory that the sender knows to be free and has no use for.
+	Offers []Offer `cbor:"30,keyasint,omitempty"`
+}
+
+// Offer is memory of a decode engine that only the sender knows to be free.
+type Offer struct {
+	_       struct{} `cbor:",toarray"`
+	Service ident.Route
+	Backend ident.BackendID
+	Memory  int64 // tokens of KV cache
+	Hops    int   // hosts to which it may still be offered
 }
 
 // UnreachableNote names a backend server that the sender failed to reach.
--- a/pkg/relay/notes.go
+++ b/pkg/relay/notes.go
@@ -24,4 +24,16 @@
 
 // applyNote passes a note of another host to the part that it belongs to. Kinds that this
 // program does not use are ignored.
-func (r *Relay) applyNote(notes.Received) {}
+func (r *Relay) applyNote(n notes.Received) {
+	switch n.Kind {
+	case notes.Full:
+		r.applyRefusal(n)
+	}
+}
+
+// putNote queues a note for the other hosts.
+func (r *Relay) putNote(kind notes.Kind, key string, body any) {
+	if err := r.notes.Put(r.now, kind, key, body); err != nil {
+		r.log(Decision{Step: "note", Outcome: err.Error()})
+	}
+}
--- a/pkg/relay/queue.go
+++ b/pkg/relay/queue.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"github.com/mulberrystream/mulberrystream/pkg/backends"
 	"github.com/mulberrystream/mulberrystream/pkg/fairqueue"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 )
@@ -17,6 +18,7 @@
 	// freeRate is the rate at which finished requests of this host free KV cache, in
 	// tokens per second.
 	freeRate rate
+	pacer    backends.Pacer
 }
 
 func newQueue() *queue {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -51,6 +51,7 @@
 	polledReader          int       // number of polls of readers while the platform is unreachable
 	storeEra              uint64    // latest seen era of the platform's store
 	storeRevision         uint64    // highest seen revision of storeEra
+	offers                []Offer   // of this step
 	latestVersion         uint64    // highest version of the configuration that any host has
 	backendsListed        bool      // the list of backend servers has been read once
 	failingSince          time.Time // first failed read since the last success; zero if connected
@@ -111,6 +112,7 @@
 	r.applyOrigins()
 	r.refuseQuarantined()
 	r.startQueued()
+	r.offerFreed()
 	r.sendHeartbeat()
 	r.relayReports()
 	r.sendPartNotes()
@@ -238,6 +240,7 @@
 			r.log(Decision{Step: "backend_gone", Backend: id, Outcome: "removed, not listed again after the platform outage"})
 		}
 	}
+	r.backends.SetReportAge(r.roster.Interval())
 	r.refreshBudgets()
 	r.dropSilentHosts()
 	r.suspendSilentDomains()
@@ -299,6 +302,7 @@
 		r.parts.Apply(r.now, m.Parts)
 		r.applyLimitMessage(m)
 		r.applyOriginMessage(m)
+		r.applyOffers(m)
 		return
 	}
 	fresh, restarted := r.roster.Receive(r.now, m.Heartbeat)
--- a/pkg/relay/request.go
+++ b/pkg/relay/request.go
@@ -61,6 +61,7 @@
 	localPrefill   bool          // the decode engine does the prefill itself
 
 	permits    []serverlimit.Process // for which it has permits that have not been used
+	unsure     bool                  // its reservation is at an engine that may be full
 	permitUsed bool                  // the last call to a server used a permit
 	ask        uint64                // for a permit, while it waits for the answer
 	askedFor   serverlimit.Process
--- a/pkg/relay/staged.go
+++ b/pkg/relay/staged.go
@@ -109,7 +109,7 @@
 	}
 	query := r.decodeQuery(q)
 	for {
-		to, ok := r.backends.PickDecode(r.now, query)
+		to, ok := r.pickPaced(q, query)
 		if !ok {
 			q.waitingFor = "decode memory"
 			return false
@@ -182,6 +182,7 @@
 	if e.Outcome == Succeeded {
 		r.backends.Reached(r.now, q.target.ID)
 		q.reservation = e.Hold
+		r.reservationGranted(q)
 		if !r.backends.Accepts(r.now, q.target) || !r.permitted(q) {
 			r.logRequest(q, "reserve", "engine takes no new requests")
 			r.release(q)
@@ -192,6 +193,9 @@
 		return
 	}
 	r.recordOutcome(q.target.ID, e.Outcome, backends.Full)
+	if e.Outcome == NotRun {
+		r.reservationRefused(q)
+	}
 	r.release(q)
 	r.logRequest(q, "reserve", e.Outcome.String())
 	r.enqueue(q)
@@ -373,6 +377,7 @@
 	}
 	if e.Outcome == Succeeded {
 		r.recordOutput(q, e)
+		r.freedMemory(q)
 		r.logStreamEnd(q, e, "answer", "complete")
 		r.finish(q)
 		return
