quota, relay: unused output tokens are given back, and the bound holds in partitions of 69 hosts

Cause: a request is charged its prompt and the longest output that it allows (8,000 to 9,000 tokens) and was never settled with what it used (5,300), so an organisation that uses 26,000 tokens/s of 34,274 is refused. Its large requests keep the bucket below zero, and small ones may overdraw it only if the burst is below twice the rate.

Change: the unused output of a complete stream is given back, slowly: all hosts together return at most 3/8 of the tolerance in a window, and nothing while hosts are silent. Parts of a partitioned fleet use 1/2, a debt for small requests 1/8. A host counts as silent to the quota after 2.2 report intervals (at least 500 ms, as before in small fleets) instead of 5: in a partition each part used the whole rate for 4.3 s at 69 hosts.

--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -20,8 +20,8 @@
 	// hosts and must not use the whole limit.
 	MinHosts int
 	// Tolerance is what operators accept beyond a limit because reports arrive late. It
-	// is used only while hosts are silent and may or may not be admitting requests,
-	// never while all hosts report.
+	// has three uses: hosts that are silent and may or may not be admitting requests, tokens
+	// that requests stated and did not use (see Settle), and a debt for small requests.
 	Tolerance Tolerance
 }
 
@@ -32,13 +32,24 @@
 	Slack   float64 // tokens
 }
 
-// tolerancePartitions is the number of parts of a partitioned fleet that may use the
-// tolerance at the same time.
-const tolerancePartitions = 8
+const (
+	// tolerancePartitions is the number of parts of a partitioned fleet that may use the
+	// tolerance at the same time.
+	tolerancePartitions = 8
+	// The tolerance is divided among its uses, so that the bound holds if all occur in one window.
+	partitionShare  = 1.0 / 2
+	settlementShare = 3.0 / 8
+	smallShare      = 1.0 / 8
+)
+
+// tokens returns the tokens of the whole tolerance in a window.
+func (t Tolerance) tokens(l Limit) float64 {
+	return (l.Rate*t.Window.Seconds()+l.Burst)*t.Overage + t.Slack
+}
 
 // perPartition returns the tokens that one part of a partitioned fleet may use in a window.
 func (t Tolerance) perPartition(l Limit) float64 {
-	return ((l.Rate*t.Window.Seconds()+l.Burst)*t.Overage + t.Slack) / tolerancePartitions
+	return t.tokens(l) * partitionShare / tolerancePartitions
 }
 
 // perSecond returns perPartition as a rate in tokens per second.
@@ -86,6 +97,9 @@
 
 	toRelay     map[ident.HostID]struct{} // peers with reports that were not relayed yet
 	relayedUsed int64                     // value of used that was relayed last
+
+	unused     float64 // tokens stated by completed requests that have not been given back
+	returnedAt time.Time
 }
 
 type peer struct {
@@ -137,6 +151,7 @@
 	}
 	l.refill(now, b)
 	b.limit = lim
+	b.unused = 0 // of the old limit
 	b.level = min(b.level, l.capacity(now, b))
 }
 
@@ -195,6 +210,7 @@
 	silent, each := l.silentShare(now, b)
 	gain := (b.limit.Rate - each*float64(silent)) * d
 	b.level = min(l.capacity(now, b), b.level+gain)
+	l.returnUnused(now, b)
 }
 
 // minBurstShare is the part of the burst that must be left to admit a larger request. The
@@ -214,10 +230,16 @@
 
 // required returns the level at which a request is admitted.
 func (l *Limiter) required(now time.Time, b *bucket, tokens float64) float64 {
-	if tokens > b.limit.Burst*smallRequestShare || l.cfg.Tolerance.Overage*l.cfg.Tolerance.Window.Seconds()*b.limit.Rate < b.limit.Burst {
+	if tokens > b.limit.Burst*smallRequestShare {
 		return min(tokens, b.limit.Burst*minBurstShare)
 	}
-	return tokens - l.capacity(now, b)*smallDebtShare
+	t := l.cfg.Tolerance
+	debt := l.capacity(now, b) * smallDebtShare
+	if t.Overage*t.Window.Seconds()*b.limit.Rate < b.limit.Burst {
+		// A debt of a part of the burst would exceed the tolerance.
+		debt = min(debt, t.tokens(b.limit)*smallShare*l.capacity(now, b)/b.limit.Burst)
+	}
+	return min(tokens-debt, b.limit.Burst*minBurstShare)
 }
 
 // Take admits a request that costs this many tokens, or returns the time after which
--- a/pkg/relay/admit.go
+++ b/pkg/relay/admit.go
@@ -174,3 +174,13 @@
 func (q *request) retryable() bool {
 	return q.route.Kind == catalog.Idempotent || q.route.Kind == catalog.Stream && q.route.Resumable
 }
+
+// settleQuota gives back the output tokens that a complete stream was charged and did not use.
+func (r *Relay) settleQuota(q *request, e CallEnded) {
+	stride := q.service.Engine.TokensPerEvent
+	if q.chargedTokens == 0 || !q.spec.TokensKnown || q.org.CountRequests || stride <= 0 || q.runs > 1 || q.spec.Resumes {
+		return
+	}
+	used := float64(q.spec.PromptTokens + int64(e.Events*stride))
+	r.quota.Settle(r.now, q.org.Name, q.chargedTokens-used)
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -361,7 +361,7 @@
 	if !r.joinedRunningFleet && !r.roster.Converged(r.now) {
 		assumed = r.backends.Size()
 	}
-	r.quota.SetFleet(r.roster.SilentAfter(), assumed)
+	r.quota.SetFleet(quota.SilentAfter(r.roster.Interval()), assumed)
 }
 
 // jointStartTolerance is the maximum difference in uptime between hosts that count as
--- a/pkg/relay/staged.go
+++ b/pkg/relay/staged.go
@@ -377,6 +377,7 @@
 	}
 	if e.Outcome == Succeeded {
 		r.recordOutput(q, e)
+		r.settleQuota(q, e)
 		r.freedMemory(q)
 		r.logStreamEnd(q, e, "answer", "complete")
 		r.finish(q)
