quota, relay: unused tokens are given back while few hosts are silent; resumed streams are not judged

Cause: one silent host, such as a replaced one, dropped what was to be given back, and a stream that its caller resumes was judged by its whole expected output although a part of it is done.

Change: tokens are given back while at least nine tenths of the hosts report, and kept meanwhile. Resumed streams are not refused for lack of time.

--- a/pkg/quota/settle.go
+++ b/pkg/quota/settle.go
@@ -15,6 +15,9 @@
 	// maxUnusedTime is the time in which the tokens that are kept to be given back are returned.
 	// A host of a large fleet ends a request of an organisation once in several seconds.
 	maxUnusedTime = 30 * time.Second
+	// minReporting is the part of the hosts that must report for tokens to be given back. In a
+	// partition, parts use the tolerance before they notice it; replaced hosts are silent, too.
+	minReporting = 0.9
 )
 
 // Settle records that a request of this host, which has ended, has not used this many of the
@@ -31,10 +34,10 @@
 }
 
 // returnRate returns the tokens per second that this host may give back: its equal share of
-// that part of the tolerance, and none while hosts are silent, which use it then.
+// that part of the tolerance.
 func (l *Limiter) returnRate(now time.Time, b *bucket) float64 {
-	all, reporting := l.countHosts(now)
-	if t := l.cfg.Tolerance; reporting == all && t.Window > 0 {
+	all, _ := l.countHosts(now)
+	if t := l.cfg.Tolerance; t.Window > 0 {
 		return t.tokens(b.limit) * settlementShare / (t.Window + maxReturnTime).Seconds() / float64(all)
 	}
 	return 0
@@ -48,6 +51,9 @@
 		return
 	}
 	b.returnedAt = now
+	if all, reporting := l.countHosts(now); float64(reporting) < minReporting*float64(all) {
+		return
+	}
 	tokens := float64(int64(min(b.unused, l.returnRate(now, b)*min(since, maxReturnTime).Seconds())))
 	b.unused -= tokens
 	b.used -= int64(tokens)
--- a/pkg/relay/admit.go
+++ b/pkg/relay/admit.go
@@ -29,7 +29,7 @@
 		return
 	}
 	q.expectedOutput = r.predictor.ExpectedOutput(q.route.Name, q.spec.MaxOutputTokens, q.spec.OutputHint)
-	if r.hopeless(q) {
+	if !q.spec.Resumes && r.hopeless(q) { // the output that is left of a resumed stream is not known
 		r.fail(q, NoTime, 0)
 		return
 	}
