quota: a new version of the configuration keeps unused tokens

Cause: SetLimit, which is called at every version, dropped what was to be given back. Change: it is dropped only if the limit has changed. Measured: the spec gives 8,500 used tokens before, 5,300 after.

--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -150,8 +150,10 @@
 		return
 	}
 	l.refill(now, b)
+	if lim != b.limit {
+		b.unused = 0 // of the old limit
+	}
 	b.limit = lim
-	b.unused = 0 // of the old limit
 	b.level = min(b.level, l.capacity(now, b))
 }
 
--- a/pkg/quota/settle_test.go
+++ b/pkg/quota/settle_test.go
@@ -124,3 +124,23 @@
 		Entry("3 parts, with a full bucket", 3, 20*time.Second),
 	)
 })
+
+var _ = Describe("unused tokens of one host", func() {
+	// Guards against tokens that are dropped whenever a new version of the configuration is read.
+	It("are kept when the same limit is set again", func() {
+		now := time.Unix(1000, 0)
+		cfg := quota.DefaultConfig()
+		cfg.Tolerance = quota.Tolerance{Window: window, Overage: overage, Slack: slack}
+		l := quota.New(cfg, now)
+		limit := quota.Limit{Rate: 34_274, Burst: 123_385}
+		l.SetLimit(now, org, limit)
+		now = now.Add(time.Minute)
+		ok, _ := l.Take(now, org, 8500)
+		Expect(ok).To(BeTrue())
+		l.State(now.Add(10*time.Millisecond), org)
+		l.Settle(now.Add(20*time.Millisecond), org, 3200)
+		l.SetLimit(now.Add(30*time.Millisecond), org, limit)
+		l.State(now.Add(3*time.Second), org)
+		Expect(l.Used()[org]).To(Equal(int64(5300)))
+	})
+})
