backends, relay: values of other hosts' refusals are checked

Cause: a note of kind Full with any positive value was applied, also one above the memory of the engine or from the future, which keeps the engine out of use. Change: the value must be within the engine's memory and not from the future; others are ignored and logged as step note. The receipt of an age that overflows is pkg/notes and is not changed here. Measured: specs with MaxInt64, 2^62 and a time in the future pass; they were not run on the code before.

--- a/pkg/backends/refusals.go
+++ b/pkg/backends/refusals.go
@@ -47,11 +47,15 @@
 	return refusal, d.applyRefusal(now, s, refusal, s.totalLoad().Memory-need)
 }
 
-// ApplyRefusal applies a refusal that another host has met.
-func (d *Directory) ApplyRefusal(now time.Time, r Refusal) {
-	if s := d.servers[r.ID]; s != nil && s.StartedAt == r.StartedAt && r.Used > 0 {
-		d.applyRefusal(now, s, r, s.totalLoad().Memory)
+// ApplyRefusal applies a refusal that another host has met by an engine with this capacity. It
+// returns false, and does nothing, if the process is not known or a value is out of range.
+func (d *Directory) ApplyRefusal(now time.Time, r Refusal, capacity int64) bool {
+	s := d.servers[r.ID]
+	if s == nil || s.StartedAt != r.StartedAt || r.Used <= 0 || r.Used > capacity || r.At.After(now) {
+		return false
 	}
+	d.applyRefusal(now, s, r, s.totalLoad().Memory)
+	return true
 }
 
 // applyRefusal applies a refusal by an engine at which this much memory is known to be in use.
--- a/pkg/backends/refusals_test.go
+++ b/pkg/backends/refusals_test.go
@@ -1,6 +1,7 @@
 package backends_test
 
 import (
+	"math"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -58,18 +59,20 @@
 	It("of another host counts only for the same process", func() {
 		for _, r := range []backends.Refusal{
 			{ID: "e", StartedAt: 6, Used: capacity, At: now}, {ID: "e", StartedAt: 7, Used: -1, At: now}, {ID: "x", Used: capacity, At: now},
+			{ID: "e", StartedAt: 7, Used: math.MaxInt64, At: now}, {ID: "e", StartedAt: 7, Used: 1 << 62, At: now},
+			{ID: "e", StartedAt: 7, Used: capacity, At: now.Add(time.Hour)},
 		} {
-			d.ApplyRefusal(now, r)
+			Expect(d.ApplyRefusal(now, r, capacity)).To(BeFalse())
 			Expect(fits(now)).To(BeTrue())
 		}
-		d.ApplyRefusal(now, backends.Refusal{ID: "e", StartedAt: 7, Used: capacity, At: now})
+		d.ApplyRefusal(now, backends.Refusal{ID: "e", StartedAt: 7, Used: capacity, At: now}, capacity)
 		Expect(fits(now)).To(BeFalse())
 	})
 
 	// Guards against a host that does not use memory which its own requests have freed, while
 	// the loads of the others are not up to date.
 	It("does not hide memory that this host knows to be free", func() {
-		d.ApplyRefusal(now, backends.Refusal{ID: "e", StartedAt: 7, Used: capacity, At: now})
+		d.ApplyRefusal(now, backends.Refusal{ID: "e", StartedAt: 7, Used: capacity, At: now}, capacity)
 		d.Freed(now, "e", need)
 		query.Freed = true
 		defer func() { query.Freed = false }()
--- a/pkg/relay/refusals.go
+++ b/pkg/relay/refusals.go
@@ -122,5 +122,10 @@
 		r.log(Decision{Step: "note", Peer: n.From, Outcome: err.Error()})
 		return
 	}
-	r.backends.ApplyRefusal(r.now, backends.Refusal{ID: ident.BackendID(n.Key), StartedAt: body.StartedAt, Used: body.Used, At: n.At})
+	refusal := backends.Refusal{ID: ident.BackendID(n.Key), StartedAt: body.StartedAt, Used: body.Used, At: n.At}
+	e, _ := r.backends.Entry(refusal.ID)
+	engine := r.engineOf(e.Service)
+	if engine != nil && !r.backends.ApplyRefusal(r.now, refusal, engine.MemoryTokens) {
+		r.log(Decision{Step: "note", Peer: n.From, Backend: refusal.ID, Outcome: "refusal by another process or out of range ignored"})
+	}
 }
