evacuation, backends, relay, platform: evacuated failure domains get nothing

Cause: operators evacuate a zone with a key of the store, op/evacuate/ZONE, which no host read.

One function, Directory.excluded, keeps their servers from every choice. Requests that wait for a permit, a reservation, a prefill or a connection there go elsewhere or back into the queue; KV cache handles there are not used, and neither releases nor role orders are sent. The decoder of the test for invalid entries gets the new method of its interface.

--- a/pkg/backends/directory.go
+++ b/pkg/backends/directory.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/mulberrystream/mulberrystream/pkg/evacuation"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 	"github.com/mulberrystream/mulberrystream/pkg/serverlimit"
 )
@@ -60,6 +61,9 @@
 	if cfg.Limits == nil {
 		cfg.Limits = serverlimit.New(serverlimit.DefaultConfig("", cfg.Seed), time.Time{})
 	}
+	if cfg.Evacuations == nil {
+		cfg.Evacuations = evacuation.New(evacuation.DefaultConfig())
+	}
 	return &Directory{
 		cfg:         cfg,
 		limits:      cfg.Limits,
@@ -180,7 +184,7 @@
 		if s.switching(now) {
 			at = s.switchTo
 		}
-		if at == stage && !s.departing() && s.listed(now) && !s.suspended(now) {
+		if at == stage && !d.excluded(s) && s.listed(now) && !s.suspended(now) {
 			n++
 		}
 	}
@@ -191,11 +195,11 @@
 // says.
 func (s *server) departing() bool { return s.Draining || s.leaving }
 
-// Listed reports whether any server of a service in a stage is known and not departing,
+// Listed reports whether any server of a service in a stage is known and not excluded,
 // whether or not it is reachable.
 func (d *Directory) Listed(service ident.Route, stage Stage) bool {
 	return slices.ContainsFunc(d.byService[service], func(s *server) bool {
-		return s.Stage == stage && !s.departing()
+		return s.Stage == stage && !d.excluded(s)
 	})
 }
 
--- /dev/null
+++ b/pkg/backends/evacuated.go
@@ -0,0 +1,45 @@
+package backends
+
+import "time"
+
+// evacuated reports whether the failure domain of a server is evacuated.
+func (d *Directory) evacuated(s *server) bool { return d.cfg.Evacuations.Evacuated(s.Domain) }
+
+// excluded reports whether a server must get no new requests, whatever its load and health:
+// it is about to stop, or its failure domain is evacuated.
+func (d *Directory) excluded(s *server) bool { return s.departing() || d.evacuated(s) }
+
+// Evacuated reports whether the failure domain of a target is evacuated.
+func (d *Directory) Evacuated(t Target) bool { return d.cfg.Evacuations.Evacuated(t.Domain) }
+
+// rampShare returns the share of its usual load that a server should get.
+func (d *Directory) rampShare(now time.Time, s *server) float64 {
+	return d.cfg.Evacuations.Share(now, s.Domain)
+}
+
+// ramped reduces the chance of servers that have just come back. Without that, all hosts would
+// pick them until their loads are reported, because they are empty. Each stays among the
+// candidates with the probability of its share and with a cost as if it had that share of its
+// capacity, so that it is filled to that share at most. If all candidates have come back,
+// nothing is gained by holding requests back.
+func (d *Directory) ramped(now time.Time, all []candidate) []candidate {
+	ramping := 0
+	for _, c := range all {
+		if d.rampShare(now, c.server) < 1 {
+			ramping++
+		}
+	}
+	if ramping == 0 || ramping == len(all) {
+		return all
+	}
+	kept := all[:0]
+	for _, c := range all {
+		share := d.rampShare(now, c.server)
+		if share < 1 && d.rng.Float64() >= share {
+			continue
+		}
+		c.cost /= share
+		kept = append(kept, c)
+	}
+	return kept
+}
--- a/pkg/backends/limited.go
+++ b/pkg/backends/limited.go
@@ -34,7 +34,7 @@
 // whether a permit may be asked for at one of them now.
 func (d *Directory) PermitWait(now time.Time, service ident.Route, stage Stage) (wait time.Duration, anyAskable bool) {
 	for _, s := range d.byService[service] {
-		if s.Stage != stage || s.departing() {
+		if s.Stage != stage || d.excluded(s) {
 			continue
 		}
 		if !d.limits.Limited(s.process()) {
--- a/pkg/backends/pick.go
+++ b/pkg/backends/pick.go
@@ -48,7 +48,7 @@
 
 // eligible reports whether a server may get the request, its load aside.
 func (d *Directory) eligible(now time.Time, s *server, q Query) bool {
-	if !d.askable(now, s, q) || s.Stage != q.Stage || s.departing() || s.switching(now) || !s.listed(now) || !s.health.usable(now) || !s.accepts(now) {
+	if !d.askable(now, s, q) || s.Stage != q.Stage || d.excluded(s) || s.switching(now) || !s.listed(now) || !s.health.usable(now) || !s.accepts(now) {
 		return false
 	}
 	if !s.matchesVersion(q) {
@@ -82,7 +82,7 @@
 		}
 		return float64(l.Memory)/float64(q.MemoryPerServer) + penalty, true
 	})
-	return d.pick(now, all, q.UnseenRequests*float64(q.Need.Memory)/float64(q.MemoryPerServer))
+	return d.pick(now, d.ramped(now, all), q.UnseenRequests*float64(q.Need.Memory)/float64(q.MemoryPerServer))
 }
 
 // PickPrefill returns an engine that would finish the prefill of a prompt soon, and the
@@ -95,7 +95,7 @@
 		// The cost is in seconds: a penalty of 1 counts as 100 ms.
 		return s.prefillSeconds(q) + d.penalty(now, s, q)/10, true
 	})
-	t, ok := d.pick(now, all, q.UnseenRequests*float64(q.Need.Prompt)/d.PrefillRate(q.Service))
+	t, ok := d.pick(now, d.ramped(now, all), q.UnseenRequests*float64(q.Need.Prompt)/d.PrefillRate(q.Service))
 	if !ok {
 		return t, 0, false
 	}
@@ -146,7 +146,7 @@
 	if len(all) == 0 {
 		return Target{}, false
 	}
-	return d.pick(now, all, q.UnseenRequests*float64(len(all))/float64(slots))
+	return d.pick(now, d.ramped(now, all), q.UnseenRequests*float64(len(all))/float64(slots))
 }
 
 // penalty returns what failures, distance and unreachable reports add to the cost of a
@@ -196,7 +196,7 @@
 func (d *Directory) PickSwitch(now time.Time, service ident.Route, from Stage) (Target, bool) {
 	inDomain := map[ident.FailureDomain]int{}
 	for _, s := range d.byService[service] {
-		if s.Stage == from && !s.departing() && !s.switching(now) {
+		if s.Stage == from && !d.excluded(s) && !s.switching(now) {
 			inDomain[s.Domain]++
 		}
 	}
--- a/pkg/backends/types.go
+++ b/pkg/backends/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mulberrystream/mulberrystream/pkg/evacuation"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 	"github.com/mulberrystream/mulberrystream/pkg/serverlimit"
 )
@@ -115,6 +116,8 @@
 	MissingGrace time.Duration
 	// Limits are the limits that servers name; nil means none.
 	Limits *serverlimit.Limiter
+	// Evacuations are the evacuated failure domains; nil means none.
+	Evacuations *evacuation.Tracker
 }
 
 // DefaultConfig returns settings for a heartbeat interval of about one second.
--- a/pkg/backends/versions.go
+++ b/pkg/backends/versions.go
@@ -36,21 +36,21 @@
 }
 
 // ListedVersion reports whether a server of a service in a stage, of the given software
-// version and not among the excluded ones, is known and not departing, whether or not it is
+// version and not among the given ones, is known and not excluded, whether or not it is
 // reachable.
 func (d *Directory) ListedVersion(service ident.Route, stage Stage, v ident.Version, exclude []ident.BackendID) bool {
 	return slices.ContainsFunc(d.byService[service], func(s *server) bool {
-		return s.Stage == stage && s.Version == v && !s.departing() && !slices.Contains(exclude, s.ID)
+		return s.Stage == stage && s.Version == v && !d.excluded(s) && !slices.Contains(exclude, s.ID)
 	})
 }
 
-// OneVersion reports whether all servers of a service in a stage that are not departing
+// OneVersion reports whether all servers of a service in a stage that are not excluded
 // have the same software version.
 func (d *Directory) OneVersion(service ident.Route, stage Stage) bool {
 	first := true
 	var v ident.Version
 	for _, s := range d.byService[service] {
-		if s.Stage != stage || s.departing() {
+		if s.Stage != stage || d.excluded(s) {
 			continue
 		}
 		if !first && s.Version != v {
@@ -69,7 +69,7 @@
 	}
 	total, count := 0, map[ident.Version]int{}
 	for _, s := range d.byService[service] {
-		if s.Stage == Decode && !s.departing() && !s.switching(now) && s.listed(now) {
+		if s.Stage == Decode && !d.excluded(s) && !s.switching(now) && s.listed(now) {
 			total++
 			count[s.Version]++
 		}
--- a/pkg/backends/waiting.go
+++ b/pkg/backends/waiting.go
@@ -63,10 +63,11 @@
 }
 
 // Accepts reports whether the process that was picked as a target still takes new
-// requests: it has neither asked for time nor announced that it leaves.
+// requests: it has neither asked for time nor announced that it leaves, and its failure domain
+// is not evacuated.
 func (d *Directory) Accepts(now time.Time, t Target) bool {
 	s := d.servers[t.ID]
-	return s != nil && s.StartedAt == t.StartedAt && s.Version == t.Version && !s.leaving && !now.Before(s.waitUntil)
+	return s != nil && s.StartedAt == t.StartedAt && s.Version == t.Version && !s.leaving && !now.Before(s.waitUntil) && !d.evacuated(s)
 }
 
 // Waits reports whether a server wants nothing from this host now.
@@ -80,7 +81,7 @@
 func (d *Directory) TimeUntilAccepting(now time.Time, service ident.Route, stage Stage) time.Duration {
 	least := time.Duration(0)
 	for _, s := range d.byService[service] {
-		if s.Stage != stage || s.departing() {
+		if s.Stage != stage || d.excluded(s) {
 			continue
 		}
 		wait := s.waitUntil.Sub(now)
--- a/pkg/relay/config.go
+++ b/pkg/relay/config.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
+	"github.com/mulberrystream/mulberrystream/pkg/evacuation"
 	"github.com/mulberrystream/mulberrystream/pkg/notes"
 	"github.com/mulberrystream/mulberrystream/pkg/origin"
 	"github.com/mulberrystream/mulberrystream/pkg/quarantine"
@@ -23,6 +24,8 @@
 	Limits   serverlimit.Config
 	Origins  origin.Config
 	Notes    notes.Config
+	// Evacuation is for the failure domains that operators evacuate.
+	Evacuation evacuation.Config
 
 	// StaleAfter is the age of the configuration beyond which requests that need a
 	// key are refused, because the key may have been revoked since. It is the
@@ -67,6 +70,7 @@
 		Parts:        quarantine.DefaultConfig(),
 		Origins:      origin.DefaultConfig(self.ID, self.Domain),
 		Notes:        notes.DefaultConfig(),
+		Evacuation:   evacuation.DefaultConfig(),
 		Limits:       serverlimit.DefaultConfig(self.ID, servers.Seed),
 		StaleAfter:   4 * time.Second,
 		ApplyWithin:  2 * time.Second,
--- /dev/null
+++ b/pkg/relay/evacuations.go
@@ -0,0 +1,57 @@
+package relay
+
+import (
+	"strings"
+
+	"github.com/mulberrystream/mulberrystream/pkg/backends"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
+)
+
+// evacuationsListed applies the complete list of evacuated failure domains.
+func (r *Relay) evacuationsListed(e EvacuationsListed) {
+	r.evacuations.List(r.now, e.Domains, e.Era > r.storeEra && r.backendsListed)
+	r.logEvacuations()
+}
+
+func (r *Relay) evacuationChanged(e EvacuationChanged) {
+	if e.Evacuated {
+		r.evacuations.Begin(e.Domain)
+	} else {
+		r.evacuations.End(r.now, e.Domain)
+	}
+	r.logEvacuations()
+}
+
+func (r *Relay) tickEvacuations() {
+	r.evacuations.Tick(r.now)
+	r.logEvacuations()
+}
+
+func (r *Relay) logEvacuations() {
+	for _, c := range r.evacuations.Changes() {
+		d := Decision{Step: "evacuation", Domain: c.Domain, Age: r.age(), Outcome: "its backend servers get nothing"}
+		if !c.Evacuated {
+			d.Outcome = "withdrawn, its backend servers get a growing share"
+		}
+		if all := r.evacuations.Domains(); len(all) > 0 {
+			d.Detail = "evacuated: " + joinDomains(all)
+		}
+		r.log(d)
+	}
+}
+
+func joinDomains(all []ident.FailureDomain) string {
+	names := make([]string, len(all))
+	for i, d := range all {
+		names[i] = string(d)
+	}
+	return strings.Join(names, " ")
+}
+
+// HasEvacuations reports whether any failure domain is evacuated.
+func (r *Relay) HasEvacuations() bool { return !r.evacuations.Empty() }
+
+// Evacuated reports whether the failure domain of a target is evacuated. It must be checked
+// again when the connection over which a request is sent is there, because that can take as
+// long as a request waits.
+func (r *Relay) Evacuated(t backends.Target) bool { return r.backends.Evacuated(t) }
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -139,6 +139,19 @@
 // EntryRemoved reports that an entry is no longer listed or is unusable.
 type EntryRemoved struct{ ID ident.BackendID }
 
+// EvacuationsListed delivers all failure domains that are evacuated. In a list of the store it
+// comes before EntriesListed.
+type EvacuationsListed struct {
+	Domains []ident.FailureDomain
+	Era     uint64 // see EntriesListed
+}
+
+// EvacuationChanged reports that operators have evacuated a failure domain, or withdrawn that.
+type EvacuationChanged struct {
+	Domain    ident.FailureDomain
+	Evacuated bool
+}
+
 // ServerNoticed reports what a backend server says of itself in an answer.
 type ServerNoticed struct {
 	From      backends.Target
@@ -187,6 +200,8 @@
 func (EntriesListed) event()         {}
 func (EntryChanged) event()          {}
 func (EntryRemoved) event()          {}
+func (EvacuationsListed) event()     {}
+func (EvacuationChanged) event()     {}
 func (ServerNoticed) event()         {}
 func (PlatformReadSucceeded) event() {}
 func (PlatformReadFailed) event()    {}
--- a/pkg/relay/handle.go
+++ b/pkg/relay/handle.go
@@ -15,11 +15,11 @@
 	Expiry time.Time // zero if the engine's time limit is not known
 }
 
-// HandleValid reports whether a handle may be used at a time: it has not expired, and the
-// list still shows the process that gave it. It must be checked again when the connection
+// HandleValid reports whether a handle may be used at a time: it has not expired, the list
+// still shows the process that gave it, and its failure domain is not evacuated. It must be checked again when the connection
 // over which the handle is sent is there, because that can take as long as a handle lives.
 func (r *Relay) HandleValid(now time.Time, source backends.Target, expiry time.Time) bool {
-	return (expiry.IsZero() || now.Before(expiry)) && r.backends.Current(now, source)
+	return (expiry.IsZero() || now.Before(expiry)) && r.backends.Current(now, source) && !r.backends.Evacuated(source)
 }
 
 // keepHandle keeps the handle of the request's prefill.
--- a/pkg/relay/notices.go
+++ b/pkg/relay/notices.go
@@ -48,17 +48,22 @@
 	}
 }
 
-// redirectDecode picks another decode engine for a request whose engine has asked for time
-// or announced that it leaves since it was reserved. If there is none it ends the request, or
-// queues it if it is pinned to a version, and returns false.
+// redirectDecode picks another decode engine for a request whose engine has asked for time,
+// announced that it leaves or been evacuated since it was reserved. If there is none it ends
+// the request, or queues it if it is pinned to a version or the engine was evacuated, and
+// returns false.
 func (r *Relay) redirectDecode(q *request) bool {
 	r.logRequest(q, "redirect", "engine takes no new requests")
-	load := q.load
+	load, evacuated := q.load, r.backends.Evacuated(q.target)
 	r.releaseDecode(q)
 	query := r.decodeQuery(q)
 	query.Unlimited = true
 	to, ok := r.backends.PickDecode(r.now, query)
-	if !ok && q.pinned {
+	if !ok && evacuated {
+		// The time that it has waited for the evacuated engine is not counted.
+		q.queueDeadline = r.now.Add(r.queueTimeout(q))
+	}
+	if !ok && (q.pinned || evacuated) {
 		r.release(q)
 		r.enqueue(q)
 		return false
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -125,6 +125,9 @@
 // recordOutcome reports the outcome of a call to the directory of backend servers.
 // refused is the fault that a refusal by the server indicates.
 func (r *Relay) recordOutcome(id ident.BackendID, o Outcome, refused backends.Fault) {
+	if e, ok := r.backends.Entry(id); ok && o == Unsent && r.evacuations.Evacuated(e.Domain) {
+		return // it was held back, which says nothing of the server
+	}
 	switch o {
 	case Succeeded:
 		r.backends.Succeeded(r.now, id)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -7,6 +7,7 @@
 
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
 	"github.com/mulberrystream/mulberrystream/pkg/catalog"
+	"github.com/mulberrystream/mulberrystream/pkg/evacuation"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 	"github.com/mulberrystream/mulberrystream/pkg/notes"
 	"github.com/mulberrystream/mulberrystream/pkg/origin"
@@ -36,6 +37,7 @@
 	origins         *origin.Tracker
 	resumption      resumption
 	backends        *backends.Directory
+	evacuations     *evacuation.Tracker
 	budgets         map[ident.Route]*retry.Budget
 	queues          map[ident.Route]*queue
 	requests        map[ID]*request
@@ -74,6 +76,7 @@
 // New returns a Relay that has no configuration yet.
 func New(cfg Config, now time.Time) *Relay {
 	cfg.Backends.Limits = serverlimit.New(cfg.Limits, now)
+	cfg.Backends.Evacuations = evacuation.New(cfg.Evacuation)
 	return &Relay{
 		cfg:            cfg,
 		now:            now,
@@ -86,6 +89,7 @@
 		origins:        origin.New(cfg.Origins, now),
 		resumption:     newResumption(),
 		backends:       backends.NewDirectory(cfg.Backends),
+		evacuations:    cfg.Backends.Evacuations,
 		budgets:        map[ident.Route]*retry.Budget{},
 		queues:         map[ident.Route]*queue{},
 		requests:       map[ID]*request{},
@@ -146,6 +150,10 @@
 		r.trackVersion(e.Entry)
 	case EntryRemoved:
 		r.entryRemoved(e.ID)
+	case EvacuationsListed:
+		r.evacuationsListed(e)
+	case EvacuationChanged:
+		r.evacuationChanged(e)
 	case ServerNoticed:
 		r.serverNoticed(e)
 	case PlatformReadSucceeded:
@@ -237,6 +245,7 @@
 		for _, id := range r.backends.ExpireMissing(r.now) {
 			r.log(Decision{Step: "backend_gone", Backend: id, Outcome: "removed, not listed again after the platform outage"})
 		}
+		r.tickEvacuations()
 	}
 	r.refreshBudgets()
 	r.dropSilentHosts()
--- a/pkg/relay/request.go
+++ b/pkg/relay/request.go
@@ -128,10 +128,10 @@
 	}
 }
 
-// takesControlCalls reports whether a server has neither asked for time nor named a limit, so
-// that calls that only free its memory early may be sent.
+// takesControlCalls reports whether a server has neither asked for time nor named a limit, and
+// its failure domain is not evacuated, so that calls that only free its memory early may be sent.
 func (r *Relay) takesControlCalls(t backends.Target) bool {
-	return !r.backends.Waits(r.now, t.ID) && !r.backends.Limits().Limited(t.Process())
+	return !r.backends.Evacuated(t) && !r.backends.Waits(r.now, t.ID) && !r.backends.Limits().Limited(t.Process())
 }
 
 func (r *Relay) releasePrefillLoad(q *request) {
--- a/pkg/relayhost/calls.go
+++ b/pkg/relayhost/calls.go
@@ -58,7 +58,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	ctx, cancel := x.withDeadline(e.Deadline.Add(answerGrace))
 	defer cancel()
-	err := x.host.clients.forAddr(e.To.Addr).Do(ctx, req, resp)
+	err := x.host.clients.forAddr(e.To.Addr).Do(x.host.withTargetCheck(ctx, e.To), req, resp)
 	ended.Took = boottime.Now().Sub(begin)
 	if err != nil {
 		ended.Outcome = x.errorOutcome(err, e.To)
@@ -206,7 +206,7 @@
 	if link != nil {
 		ctx = sendonce.WithLink(ctx, link)
 	}
-	if err := x.host.clients.forAddr(a.To.Addr).Do(ctx, req, resp); err != nil {
+	if err := x.host.clients.forAddr(a.To.Addr).Do(x.host.withTargetCheck(ctx, a.To), req, resp); err != nil {
 		o := x.errorOutcome(err, a.To)
 		if o == relay.Aborted {
 			// No answer within the call's own time limit counts as a lost answer.
@@ -259,7 +259,7 @@
 		ctx, cancel := context.WithTimeout(ctx, backgroundCallTimeout)
 		defer cancel()
 		begin := boottime.Now()
-		err := h.clients.forAddr(to.Addr).Do(ctx, req, resp)
+		err := h.clients.forAddr(to.Addr).Do(h.withTargetCheck(ctx, to), req, resp)
 		if err != nil {
 			h.logCallError(err, "", to)
 		} else {
--- a/pkg/relayhost/core.go
+++ b/pkg/relayhost/core.go
@@ -25,6 +25,8 @@
 	timerDue time.Time // when timer fires; zero if it has fired
 	// serverLimits reports whether any backend server is known to have named a limit.
 	serverLimits atomic.Bool
+	// evacuations reports whether any failure domain is evacuated.
+	evacuations atomic.Bool
 
 	log        *zap.Logger
 	metrics    *hostMetrics
@@ -83,6 +85,7 @@
 		rest = append(rest, eff)
 	}
 	c.serverLimits.Store(c.relay.KnowsServerLimits())
+	c.evacuations.Store(c.relay.HasEvacuations())
 	c.arm()
 	c.mu.Unlock()
 	for _, eff := range rest {
@@ -214,6 +217,16 @@
 	return c.relay.HandleValid(boottime.Now(), source, expiry)
 }
 
+// evacuated reports whether the failure domain of a backend server is evacuated.
+func (c *core) evacuated(t backends.Target) bool {
+	if !c.evacuations.Load() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.relay.Evacuated(t)
+}
+
 func (c *core) limits() (catalog.Limits, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/relayhost/dialect.go
+++ b/pkg/relayhost/dialect.go
@@ -78,4 +78,7 @@
 	Entry(key string, value []byte) (e backends.Entry, ok bool, err error)
 	// EntryID returns the id that an entry's key names.
 	EntryID(key string) (id ident.BackendID, ok bool)
+	// EvacuatedDomain returns the failure domain that is evacuated for as long as a key
+	// exists. ok is false if it is another kind of key.
+	EvacuatedDomain(key string) (domain ident.FailureDomain, ok bool)
 }
--- a/pkg/relayhost/store.go
+++ b/pkg/relayhost/store.go
@@ -9,6 +9,7 @@
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
 	"github.com/mulberrystream/mulberrystream/pkg/boottime"
 	"github.com/mulberrystream/mulberrystream/pkg/follow"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
 	"github.com/mulberrystream/mulberrystream/pkg/relay"
 )
 
@@ -28,6 +29,14 @@
 // Replace passes on all listed entries, and the configuration if it is listed.
 func (s *storeSink) Replace(items []follow.Item, at follow.Position) {
 	var entries []backends.Entry
+	evacuated := []ident.FailureDomain{}
+	for _, it := range items {
+		if domain, ok := s.host.decoder.EvacuatedDomain(it.Key); ok {
+			evacuated = append(evacuated, domain)
+		}
+	}
+	// Before the rest, so that no entry or configuration leads to a request there.
+	s.host.core.step(relay.EvacuationsListed{Domains: evacuated, Era: at.Era})
 	for _, it := range items {
 		if it.Key == s.host.decoder.ConfigKey() {
 			s.applyConfig(it)
@@ -42,6 +51,11 @@
 
 // Change passes on individual changes.
 func (s *storeSink) Change(items []follow.Item) {
+	for _, it := range items {
+		if domain, ok := s.host.decoder.EvacuatedDomain(it.Key); ok {
+			s.host.core.step(relay.EvacuationChanged{Domain: domain, Evacuated: !it.Removed})
+		}
+	}
 	for _, it := range items {
 		if it.Key == s.host.decoder.ConfigKey() {
 			s.applyConfig(it)
--- a/pkg/relayhost/store_test.go
+++ b/pkg/relayhost/store_test.go
@@ -26,6 +26,8 @@
 
 func (invalidEntries) EntryID(key string) (ident.BackendID, bool) { return ident.BackendID(key), true }
 
+func (invalidEntries) EvacuatedDomain(string) (ident.FailureDomain, bool) { return "", false }
+
 func (invalidEntries) Entry(key string, value []byte) (backends.Entry, bool, error) {
 	return backends.Entry{}, false, fmt.Errorf("%s: %w", value, errors.New("invalid"))
 }
--- a/pkg/relayhost/stream.go
+++ b/pkg/relayhost/stream.go
@@ -34,7 +34,7 @@
 	if e.Source != nil {
 		ctx = x.host.withHandleCheck(ctx, *e.Source, e.HandleExpiry, x.prefillLink)
 	}
-	s, err := x.host.clients.forAddr(e.To.Addr).Stream(ctx, x.newRequest(f), e.FirstEvent)
+	s, err := x.host.clients.forAddr(e.To.Addr).Stream(x.host.withTargetCheck(ctx, e.To), x.newRequest(f), e.FirstEvent)
 	if err == nil {
 		defer s.Close()
 		x.host.recordNotice(answerOfStream(s), begin, x.spec.RequestID, x.spec.RequestID, e.To)
