serverlimit, relay, backends, platform: cold servers have a limit with an end

Cause: a server that has just started, or turns cold, takes cold_per_s requests per second from all hosts together and crashes well above that. Hosts read neither the configuration nor how long a server stays cold.

Change: pkg/serverlimit gets a second source of a limit, a statement with an end. Up to 16 cold servers, hosts lend their parts to a coordinator as for named limits; with more, or without a coordinator, each host uses its own part, whose permits are dropped unused after 0.75 s. A host that may not know the whole fleet divides by an assumed number of hosts. cold_per_s, cold_start_s, cold_remaining_ms and X-Cold-Ms are read; an odd value is ignored and counted, and the entry stays usable. A server that is warm again gets a growing share. Services without cold_per_s are as before. An entry of which a part was ignored counts for the history too (relayhost/history.go): it still tells the process and its version.

--- a/pkg/backends/evacuated.go
+++ b/pkg/backends/evacuated.go
@@ -1,6 +1,10 @@
 package backends
 
-import "time"
+import (
+	"time"
+
+	"github.com/mulberrystream/mulberrystream/pkg/evacuation"
+)
 
 // evacuated reports whether the failure domain of a server is evacuated.
 func (d *Directory) evacuated(s *server) bool { return d.cfg.Evacuations.Evacuated(s.Domain) }
@@ -14,10 +18,14 @@
 
 // rampShare returns the share of its usual load that a server should get.
 func (d *Directory) rampShare(now time.Time, s *server) float64 {
-	return d.cfg.Evacuations.Share(now, s.Domain)
+	share := d.cfg.Evacuations.Share(now, s.Domain)
+	if warm := d.limits.WarmSince(now, s.process()); !warm.IsZero() {
+		share = min(share, evacuation.RampShare(now.Sub(warm), d.cfg.Evacuations.Ramp()))
+	}
+	return share
 }
 
-// ramped reduces the chance of servers that have just come back. Without that, all hosts would
+// ramped reduces the chance of servers that have just come back or become warm. Without that, all hosts would
 // pick them until their loads are reported, because they are empty. Each stays among the
 // candidates with the probability of its share and with a cost as if it had that share of its
 // capacity, so that it is filled to that share at most. If all candidates have come back,
--- a/pkg/backends/limited.go
+++ b/pkg/backends/limited.go
@@ -30,8 +30,9 @@
 }
 
 // PermitWait returns the time until a request that gets no permit should come back, if all
-// servers of a service in a stage have named a limit; otherwise 0. anyAskable reports
-// whether a permit may be asked for at one of them now.
+// servers of a service in a stage are limited; otherwise 0. anyAskable reports whether a permit
+// may be asked for at one of them now, or soon at an engine that is only cold: the requests of
+// engines wait in a queue.
 func (d *Directory) PermitWait(now time.Time, service ident.Route, stage Stage) (wait time.Duration, anyAskable bool) {
 	for _, s := range d.byService[service] {
 		if s.Stage != stage || d.excluded(s) {
@@ -40,7 +41,7 @@
 		if !d.limits.Limited(s.process()) {
 			return 0, false
 		}
-		anyAskable = anyAskable || d.limits.Askable(now, s.process())
+		anyAskable = anyAskable || d.limits.Askable(now, s.process()) || stage != Plain && d.limits.Cold(s.process())
 		if after := max(d.limits.RetryAfter(s.process()), minPermitWait); wait == 0 || after < wait {
 			wait = after
 		}
--- a/pkg/backends/types.go
+++ b/pkg/backends/types.go
@@ -33,6 +33,15 @@
 	Models    []ident.Model
 	StartedAt int64         // Unix milliseconds; distinguishes two processes with the same id
 	Version   ident.Version // of the server's software; empty if it states none
+	// Cold is for how long the server was to stay cold when it wrote the entry, if ColdStated.
+	Cold       time.Duration `json:",omitzero"`
+	ColdStated bool          `json:",omitzero"`
+	Sequence   uint64        `json:",omitzero"` // grows with each write of the entry by one process; 0 if not stated
+}
+
+// Process returns the process that has written the entry.
+func (e Entry) Process() serverlimit.Process {
+	return serverlimit.Process{ID: e.ID, StartedAt: e.StartedAt}
 }
 
 // Target is the backend server picked for a request.
@@ -56,6 +65,9 @@
 	Leaving bool          // it is shutting down
 	Wait    time.Duration // it wants nothing from this host for so long; 0 for no such wish
 	Limit   serverlimit.Statement
+	// Cold is for how long it stays cold, if ColdStated.
+	Cold       time.Duration `json:",omitzero"`
+	ColdStated bool          `json:",omitzero"`
 }
 
 // Load is the work that a backend server has running or queued.
--- a/pkg/catalog/types.go
+++ b/pkg/catalog/types.go
@@ -47,6 +47,11 @@
 type Service struct {
 	Name   ident.Route
 	Engine *Engine // nil for a plain service
+	// ColdPerSecond is the number of requests per second that a cold server takes from all
+	// hosts together; 0 means that the servers do not get cold. ColdStart is for how long a
+	// server is cold after its start.
+	ColdPerSecond float64
+	ColdStart     time.Duration
 }
 
 // Engine describes the backend servers of a model service.
--- a/pkg/evacuation/evacuation.go
+++ b/pkg/evacuation/evacuation.go
@@ -138,6 +138,9 @@
 	return max(firstShare, since.Seconds()/ramp.Seconds())
 }
 
+// Ramp returns Config.Ramp.
+func (t *Tracker) Ramp() time.Duration { return t.cfg.Ramp }
+
 // Empty reports whether no domain is evacuated.
 func (t *Tracker) Empty() bool { return len(t.evacuated) == 0 }
 
--- a/pkg/relay/platform.go
+++ b/pkg/relay/platform.go
@@ -21,6 +21,7 @@
 		r.quota.SetLimit(r.now, o.Name, quota.Limit{Rate: o.Rate, Burst: o.Burst})
 	})
 	r.setStreamLife()
+	r.applyColdServices()
 	r.log(Decision{Step: "configuration", Version: s.Version, Outcome: "in force"})
 }
 
@@ -93,6 +94,9 @@
 		}
 	}
 	r.backendsListed = true
+	for _, entry := range e.Entries {
+		r.coldStated(entry, false)
+	}
 	r.trackVersions(e.Entries)
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -33,7 +33,9 @@
 	limitsUpdatedAt time.Time             // last call of updateServerLimits
 	limitNewsAt     time.Time             // last news of sendLimitMessages
 	keepsLimits     map[ident.HostID]bool // hosts whose program keeps the limits of servers
-	awaitingPermit  map[uint64]*request   // by ask
+	cold            map[serverlimit.Process]coldStatement
+	coldServices    bool                // any service's servers may be cold
+	awaitingPermit  map[uint64]*request // by ask
 	origins         *origin.Tracker
 	resumption      resumption
 	backends        *backends.Directory
@@ -85,6 +87,7 @@
 		quota:          quota.New(cfg.Quota, now),
 		parts:          quarantine.New(cfg.Parts),
 		keepsLimits:    map[ident.HostID]bool{},
+		cold:           map[serverlimit.Process]coldStatement{},
 		awaitingPermit: map[uint64]*request{},
 		origins:        origin.New(cfg.Origins, now),
 		resumption:     newResumption(),
@@ -146,7 +149,9 @@
 	case EntriesListed:
 		r.entriesListed(e)
 	case EntryChanged:
+		started := !r.backends.HasProcess(e.Entry.Process())
 		r.backends.Put(e.Entry)
+		r.coldStated(e.Entry, started)
 		r.trackVersion(e.Entry)
 	case EntryRemoved:
 		r.entryRemoved(e.ID)
@@ -163,6 +168,7 @@
 	case MessageReceived:
 		r.messageReceived(e.Message)
 	case SeedsChanged:
+		r.cfg.Roster.Seeds = e.Seeds
 		r.roster.SetSeeds(e.Seeds)
 	case Drain:
 		r.drain()
--- a/pkg/relay/serverlimits.go
+++ b/pkg/relay/serverlimits.go
@@ -13,6 +13,7 @@
 
 // limitNoticed records what a backend server says of its limit.
 func (r *Relay) limitNoticed(e ServerNoticed) {
+	r.coldHeard(e)
 	first := !r.KnowsServerLimits()
 	c, changed := r.backends.Limits().Observe(r.now, e.SentAt, e.From.Process(), e.Notice.Limit)
 	if !changed {
@@ -43,12 +44,15 @@
 // updateServerLimits passes the state of the fleet to the limits of servers.
 func (r *Relay) updateServerLimits() {
 	r.backends.Limits().Tick(r.now)
-	if !r.KnowsServerLimits() || r.now.Sub(r.limitsUpdatedAt) < r.roster.Interval()/limitsUpdatesPerHeartbeat {
+	r.logWarmed()
+	if !r.KnowsServerLimits() && !r.coldServices || r.now.Sub(r.limitsUpdatedAt) < r.roster.Interval()/limitsUpdatesPerHeartbeat {
 		return
 	}
 	r.limitsUpdatedAt = r.now
+	r.forgetCold()
 	f := serverlimit.Fleet{
 		Silent: r.roster.Silent(r.now), Stopped: r.roster.Stopped(), MinHosts: r.cfg.Quota.MinHosts, HeartbeatInterval: r.roster.Interval(),
+		AssumedHosts: r.assumedHosts(),
 	}
 	converged := r.roster.Converged(r.now)
 	if converged && r.drainStartedAt.IsZero() {
--- a/pkg/relayhost/calls.go
+++ b/pkg/relayhost/calls.go
@@ -240,6 +240,9 @@
 	if n.Limit.Kind == serverlimit.None && !h.core.serverLimits.Load() {
 		n.Limit = serverlimit.Statement{}
 	}
+	if n.Cold == 0 && !h.core.serverLimits.Load() {
+		n.ColdStated = false
+	}
 	if n != (backends.Notice{}) {
 		h.core.step(relay.ServerNoticed{From: from, SentAt: sentAt, RequestID: requestID, Notice: n})
 	}
--- a/pkg/relayhost/dialect.go
+++ b/pkg/relayhost/dialect.go
@@ -73,8 +73,8 @@
 	// ConfigKey is the key of the configuration.
 	ConfigKey() string
 	Config(value []byte) (*catalog.Snapshot, error)
-	// Entry decodes the entry of a backend server. ok is false if the key is not the
-	// key of an entry.
+	// Entry decodes the entry of a backend server. ok is false if the key is not the key of
+	// an entry or the entry is unusable; with an error, ok means that a part was ignored.
 	Entry(key string, value []byte) (e backends.Entry, ok bool, err error)
 	// EntryID returns the id that an entry's key names.
 	EntryID(key string) (id ident.BackendID, ok bool)
--- a/pkg/relayhost/history.go
+++ b/pkg/relayhost/history.go
@@ -141,6 +141,6 @@
 	if it.Removed {
 		return backends.Entry{}, false
 	}
-	e, ok, err := p.decoder.Entry(it.Key, it.Value)
-	return e, ok && err == nil
+	e, ok, _ := p.decoder.Entry(it.Key, it.Value) // an unusable entry is counted where it is listed
+	return e, ok
 }
--- a/pkg/relayhost/store.go
+++ b/pkg/relayhost/store.go
@@ -82,7 +82,6 @@
 	e, ok, err := s.host.decoder.Entry(it.Key, it.Value)
 	if err != nil {
 		s.logInvalid(err)
-		return e, false
 	}
 	return e, ok
 }
--- a/pkg/serverlimit/coordinator.go
+++ b/pkg/serverlimit/coordinator.go
@@ -24,7 +24,8 @@
 
 // bucket is the state of a coordinator for one process.
 type bucket struct {
-	level      float64 // permits
+	level      float64   // permits
+	fullAt     time.Time // when a permit of a small part of a cold limit was there, see dropUnused
 	refilledAt time.Time
 	lent       map[ident.HostID]loan // parts that other hosts have lent to this one
 	share      float64               // of the limit that was lent at shareAt
@@ -85,7 +86,13 @@
 // Decide answers another host's ask, which also lends this host its part.
 func (l *Limiter) Decide(now time.Time, from ident.HostID, ask Ask) {
 	k := l.limits[Process{ID: ask.Backend, StartedAt: ask.StartedAt}]
-	if k == nil || k.lifted {
+	if k != nil && !k.limited() && k.cold.ended(now) {
+		// The other host has not read yet that the server is warm.
+		a := Answer{ID: ask.ID, Backend: ask.Backend, StartedAt: ask.StartedAt, Granted: true}
+		l.outgoing = append(l.outgoing, Outgoing{To: from, Answer: &a})
+		return
+	}
+	if k == nil || !k.limited() {
 		a := Answer{ID: ask.ID, Backend: ask.Backend, StartedAt: ask.StartedAt, BackoffMS: l.cfg.LostBackoff.Milliseconds()}
 		out := Outgoing{To: from, Answer: &a}
 		if k != nil {
@@ -120,6 +127,7 @@
 	// The tolerance is for rounding: a level that is approached in steps may miss the depth.
 	if k.level >= need-1e-6 {
 		k.level--
+		k.fullAt = time.Time{}
 		r.served = r.servedNow(now) + 1
 		r.servedAt, r.deniedAt = now, time.Time{}
 		return Answer{ID: ask.ID, Backend: ask.Backend, StartedAt: ask.StartedAt, Granted: true}
@@ -171,12 +179,21 @@
 
 // issueRate returns the permits per second that this host issues.
 func (l *Limiter) issueRate(k *limit) float64 {
-	return max(k.perSecond, l.cfg.MinRate) * l.cfg.Share * k.share
+	share := l.cfg.Share
+	if l.smallPart(k) {
+		share = l.cfg.SmallShare
+	}
+	return max(k.rate(), l.cfg.MinRate) * share * k.share
 }
 
 // depth returns the number of permits that a bucket saves.
 func (l *Limiter) depth(k *limit) float64 {
-	return max(l.cfg.Depth, k.perSecond*l.cfg.DepthTime.Seconds())
+	depth := max(l.cfg.Depth, k.rate()*l.cfg.DepthTime.Seconds())
+	if k.cold.active {
+		// All coordinators together save no more than one would.
+		return max(1, depth*k.share)
+	}
+	return depth
 }
 
 // refill adds the permits of the time since the last refill, at the rate of its begin: a
@@ -188,6 +205,7 @@
 	if elapsed > 0 && elapsed < maxRefill {
 		k.level = min(l.depth(k), k.level+elapsed.Seconds()*l.issueRate(k))
 	}
+	l.dropUnused(now, k)
 	if now.Sub(k.shareAt) < sharePeriod && elapsed < maxRefill {
 		return
 	}
@@ -216,5 +234,5 @@
 			parts++
 		}
 	}
-	return float64(parts) / float64(max(l.hosts(), parts))
+	return float64(parts) / float64(max(l.hostsFor(k), parts))
 }
--- a/pkg/serverlimit/limiter.go
+++ b/pkg/serverlimit/limiter.go
@@ -2,9 +2,12 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 )
 
@@ -17,6 +20,10 @@
 	// Share is the part of a limit that is issued. The rest covers what a bucket has saved,
 	// so that a limit also holds over a few seconds after a pause.
 	Share float64
+	// SmallShare is the part of the limit of a cold server that is issued by hosts that each
+	// have a small part of it. They do not know of each other's permits, so their number in one
+	// second varies by its square root.
+	SmallShare float64
 	// Depth is the number of permits that a bucket saves, or DepthTime those of a time if
 	// that is more. A permit for which others come first is issued only from a full bucket.
 	Depth     float64
@@ -47,6 +54,7 @@
 		Self:         self,
 		Seed:         seed,
 		Share:        0.8,
+		SmallShare:   0.6,
 		Depth:        1.5,
 		DepthTime:    200 * time.Millisecond,
 		MinRate:      0.1,
@@ -70,6 +78,9 @@
 	MinHosts int
 	// HeartbeatInterval is how often each host sends its notes to all others.
 	HeartbeatInterval time.Duration
+	// AssumedHosts is the least number of hosts to assume for servers that are cold. It is set
+	// while this host may not know the whole fleet.
+	AssumedHosts int
 }
 
 const (
@@ -95,6 +106,9 @@
 	members   map[ident.HostID]time.Time // when each host was last reachable, roughly
 	nextAsk   uint64
 	outgoing  []Outgoing
+	rng       *rand.Rand
+	coldCount int       // processes that are cold
+	ended     []Process // that are no longer cold
 }
 
 // New returns a Limiter that knows of no limit.
@@ -105,6 +119,7 @@
 		limits:    map[Process]*limit{},
 		members:   map[ident.HostID]time.Time{},
 		nextAsk:   cfg.Seed,
+		rng:       rand.New(rand.NewPCG(cfg.Seed, xxhash.Sum64String(string(cfg.Self)))),
 	}
 }
 
@@ -113,6 +128,7 @@
 	for _, k := range l.limits {
 		l.refill(now, k)
 	}
+	l.endCold(now)
 }
 
 // SetFleet records which hosts are reachable. listed reports whether a process is listed.
@@ -130,8 +146,9 @@
 		l.members[id] = now
 	}
 	maps.DeleteFunc(l.members, func(_ ident.HostID, seen time.Time) bool { return now.Sub(seen) >= l.cfg.MemberTTL })
+	l.countCold()
 	for p, k := range l.limits {
-		if now.Sub(k.at) >= forgetAfter && !listed(p) {
+		if now.Sub(k.at) >= forgetAfter && !listed(p) || k.forgettable(now) {
 			delete(l.limits, p)
 			continue
 		}
@@ -145,13 +162,13 @@
 // Limited reports whether requests to a process need a permit.
 func (l *Limiter) Limited(p Process) bool {
 	k := l.limits[p]
-	return k != nil && !k.lifted
+	return k != nil && k.limited()
 }
 
 // Askable reports whether a permit for a limited process may be asked for now.
 func (l *Limiter) Askable(now time.Time, p Process) bool {
 	k := l.limits[p]
-	return k == nil || k.lifted || k.coordinator != "" && !now.Before(k.backoffUntil)
+	return k == nil || !k.limited() || k.coordinator != "" && !now.Before(k.backoffUntil)
 }
 
 // Preferred reports whether a limited process should be used although others have room:
@@ -159,14 +176,14 @@
 // limit still holds.
 func (l *Limiter) Preferred(now time.Time, p Process) bool {
 	k := l.limits[p]
-	if k == nil || k.lifted {
+	if k == nil || !k.limited() {
 		return true
 	}
 	if k.coordinator == l.cfg.Self {
 		l.refill(now, k)
 		return k.level >= 1
 	}
-	return now.Sub(k.at) >= l.cfg.ConfirmAfter
+	return !k.lifted && now.Sub(k.at) >= l.cfg.ConfirmAfter
 }
 
 // RetryAfter returns the time after which a request that gets no permit should come back.
@@ -188,6 +205,11 @@
 // that is reachable, as each change leaves the part unused for a while, unless other hosts
 // use one with a higher rank: in the end all use the same one.
 func (l *Limiter) chooseCoordinator(now time.Time, p Process, k *limit) {
+	if l.keepsOwnPart(k) {
+		k.proposed = ""
+		l.lend(now, k, l.cfg.Self)
+		return
+	}
 	var inUse []ident.HostID
 	for _, id := range []ident.HostID{k.coordinator, k.proposed} {
 		if slices.Contains(l.fleet.Able, id) {
@@ -198,16 +220,31 @@
 		inUse = l.fleet.Able
 	}
 	k.proposed = ""
-	chosen := ident.Owner(string(p.ID), inUse)
-	if chosen == "" || chosen == k.coordinator {
-		k.coordinator = chosen
+	l.lend(now, k, ident.Owner(string(p.ID), inUse))
+}
+
+// lend lends this host's part of a limit to a coordinator, or to none if it is empty.
+func (l *Limiter) lend(now time.Time, k *limit, to ident.HostID) {
+	if to == "" || to == k.coordinator {
+		k.coordinator = to
 		return
 	}
-	k.lentSince = now
-	if k.coordinator == "" && !k.lentBefore {
+	switch {
+	case k.coordinator == "" && !k.lentBefore && k.cold.active:
+		// The process before this one may have lent it. That the part counts twice until the
+		// loan ends is within the overage, and a fleet that restarts can serve at once.
+		k.lentSince = l.startedAt.Add(-forgetAfter)
+	case k.coordinator == "" && !k.lentBefore:
 		k.lentSince = l.startedAt // by the process before this one, it may have been lent
+	case k.coordinator == l.cfg.Self && k.cold.active:
+		// Nobody else uses the part, so it counts as of when the coordinator before lost it.
+	default:
+		k.lentSince = now
+	}
+	k.coordinator, k.lentBefore = to, true
+	if to == l.cfg.Self && k.cold.active {
+		k.level, k.fullAt = l.rng.Float64(), time.Time{}
 	}
-	k.coordinator, k.lentBefore = chosen, true
 }
 
 // Outgoing is a message for another host.
--- a/pkg/serverlimit/permit.go
+++ b/pkg/serverlimit/permit.go
@@ -60,7 +60,7 @@
 func (l *Limiter) Acquire(now time.Time, p Process, a Applicant) (Outcome, uint64) {
 	k := l.limits[p]
 	switch {
-	case k == nil || k.lifted:
+	case k == nil || !k.limited():
 		return Granted, 0
 	case !l.Askable(now, p):
 		return Denied, 0
--- a/pkg/serverlimit/statement.go
+++ b/pkg/serverlimit/statement.go
@@ -47,12 +47,27 @@
 
 // limit is what is known of the limit of a process.
 type limit struct {
-	lifted    bool
+	lifted    bool // no limit is named
 	perSecond float64
-	at        time.Time // of the latest answer that said so
+	at        time.Time // of the latest answer that said so; zero if none has named one
+	cold      cold
 	permits
 }
 
+// limited reports whether requests to the process need a permit.
+func (l *limit) limited() bool { return !l.lifted || l.cold.active }
+
+// rate returns the requests per second that the process takes from all hosts together.
+func (l *limit) rate() float64 {
+	switch {
+	case !l.cold.active:
+		return l.perSecond
+	case l.lifted:
+		return l.cold.perSecond
+	}
+	return min(l.perSecond, l.cold.perSecond)
+}
+
 const (
 	// statementSlack is the largest difference of the times at which hosts hear what a
 	// process says at one moment.
@@ -88,7 +103,7 @@
 // if it is stricter.
 func (l *Limiter) Observe(now, sentAt time.Time, p Process, s Statement) (Change, bool) {
 	known := l.limits[p]
-	if s.Kind == Unknown || known == nil && s.Kind == None {
+	if s.Kind == Unknown || s.Kind == None && (known == nil || known.at.IsZero()) {
 		return Change{}, false
 	}
 	lifted := s.Kind == None
@@ -108,7 +123,7 @@
 		at := now.Add(-time.Duration(max(0, n.AgeMS)) * time.Millisecond)
 		known := l.limits[p]
 		switch {
-		case known == nil && n.Lifted:
+		case n.Lifted && (known == nil || known.at.IsZero()):
 			continue
 		case known != nil && at.Before(known.at.Add(-statementSlack)):
 			continue
@@ -158,7 +173,7 @@
 func (l *Limiter) Notes(now time.Time) []Note {
 	var notes []Note
 	for p, k := range l.limits {
-		if !k.lifted || now.Sub(k.at) < liftedNoteTTL {
+		if !k.lifted || now.Sub(k.at) < liftedNoteTTL || k.lendsCold(l.cfg.Self) {
 			notes = append(notes, k.note(now, p))
 		}
 	}
@@ -169,8 +184,12 @@
 }
 
 func (l *limit) note(now time.Time, p Process) Note {
+	age := now.Sub(l.at)
+	if l.at.IsZero() {
+		age = forgetAfter // the note only tells to whom the part is lent
+	}
 	return Note{
-		Backend: p.ID, StartedAt: p.StartedAt, Lifted: l.lifted, PerSecond: l.perSecond, AgeMS: now.Sub(l.at).Milliseconds(),
+		Backend: p.ID, StartedAt: p.StartedAt, Lifted: l.lifted, PerSecond: l.perSecond, AgeMS: age.Milliseconds(),
 		Coordinator: l.coordinator, LentMS: now.Sub(l.lentSince).Milliseconds(),
 	}
 }
