evacuation, backends, relay: ramp of many servers, second list, prefill kept over the queue

The share of returning servers was drawn for each server, so with 35 of them one was nearly always picked (91 of 100 requests in the first two seconds of the spec). A second list within the grace period after a restore ended the evacuation at once. A request whose decode engine was evacuated after its prefill was prefilled again without a retry of the budget.

Change: one draw for all returning servers; domains in their grace period are left to Tick; the KV cache is kept over the queue and used if it is still valid, else another prefill takes a retry or the decode engine does it. The same holds for a decode that was held back when its connection was there.

--- a/pkg/backends/evacuated.go
+++ b/pkg/backends/evacuated.go
@@ -26,10 +26,11 @@
 }
 
 // ramped reduces the chance of servers that have just come back or become warm. Without that, all hosts would
-// pick them until their loads are reported, because they are empty. Each stays among the
-// candidates with the probability of its share and with a cost as if it had that share of its
-// capacity, so that it is filled to that share at most. If all candidates have come back,
-// nothing is gained by holding requests back.
+// pick them until their loads are reported, because they are empty. They stay among the
+// candidates with the probability of their share, drawn once for all of them: with a draw for
+// each, one of many would nearly always stay and be picked. Their costs are as if they had that
+// share of their capacity, so that they are filled to that share at most. If all candidates
+// have come back, nothing is gained by holding requests back.
 func (d *Directory) ramped(now time.Time, all []candidate) []candidate {
 	ramping := 0
 	for _, c := range all {
@@ -40,10 +41,10 @@
 	if ramping == 0 || ramping == len(all) {
 		return all
 	}
-	kept := all[:0]
+	kept, draw := all[:0], d.rng.Float64()
 	for _, c := range all {
 		share := d.rampShare(now, c.server)
-		if share < 1 && d.rng.Float64() >= share {
+		if share < 1 && draw >= share {
 			continue
 		}
 		c.cost /= share
--- a/pkg/evacuation/evacuation.go
+++ b/pkg/evacuation/evacuation.go
@@ -55,11 +55,11 @@
 func (t *Tracker) List(now time.Time, domains []ident.FailureDomain, restored bool) {
 	for _, d := range slices.Sorted(maps.Keys(t.evacuated)) {
 		switch {
-		case slices.Contains(domains, d):
-		case !restored:
-			t.end(now, d)
-		case t.evacuated[d].IsZero():
+		case slices.Contains(domains, d) || !t.evacuated[d].IsZero(): // the latter is left to Tick
+		case restored:
 			t.evacuated[d] = now.Add(t.cfg.RestoreGrace)
+		default:
+			t.end(now, d)
 		}
 	}
 	for _, d := range domains {
--- a/pkg/relay/evacuations.go
+++ b/pkg/relay/evacuations.go
@@ -55,3 +55,28 @@
 // again when the connection over which a request is sent is there, because that can take as
 // long as a request waits.
 func (r *Relay) Evacuated(t backends.Target) bool { return r.backends.Evacuated(t) }
+
+// requeue queues a request again whose decode engine was evacuated after its prefill. It keeps
+// its KV cache, and the time that it has waited for that engine is not counted.
+func (r *Relay) requeue(q *request) {
+	r.releaseDecode(q)
+	q.prefilled, q.localPrefill = q.handle.Name != "", false
+	q.queueDeadline = r.now.Add(r.queueTimeout(q))
+	r.enqueue(q)
+}
+
+// keepsPrefill reports whether a request needs no other prefill: its KV cache from before it
+// was queued again is valid, or there is no retry left for one, so that the decode engine does
+// it.
+func (r *Relay) keepsPrefill(q *request) bool {
+	if !q.prefilled {
+		return false
+	}
+	q.prefilled = false
+	if r.HandleValid(r.now, q.handle.Source, q.handle.Expiry) {
+		return true
+	}
+	q.handle = KVHandle{}
+	q.localPrefill = !r.takeRetry(q)
+	return q.localPrefill
+}
--- a/pkg/relay/evacuations_test.go
+++ b/pkg/relay/evacuations_test.go
@@ -16,12 +16,14 @@
 
 // zoned gives a host servers in the failure domains a, its own, and b. Their ids begin with
 // the domain.
-func zoned() *host {
+func zoned() *host { return zonedWith(2) }
+
+func zonedWith(servers int) *host {
 	h := newHost()
 	h.step(relay.ConfigRead{Snapshot: snapshot(1, goodKey)})
 	var entries []backends.Entry
 	for _, domain := range []string{"a", "b"} {
-		for i := range 2 {
+		for i := range servers {
 			for _, e := range []backends.Entry{
 				{ID: "p", Service: "lm", Stage: backends.Prefill},
 				{ID: "d", Service: "lm", Stage: backends.Decode},
@@ -167,8 +169,8 @@
 		Expect(inA(h.openTarget())).To(BeTrue())
 	})
 
-	It("gets its share back as a ramp", func() {
-		h := zoned()
+	DescribeTable("gets its share back as a ramp", func(servers int) {
+		h := zonedWith(servers)
 		h.evacuate(true)
 		h.evacuate(false)
 		var shares []int
@@ -185,9 +187,50 @@
 		}
 		Expect(shares[0]).To(And(BeNumerically(">", 0), BeNumerically("<", 40)))
 		Expect(shares[4]).To(BeNumerically(">", shares[0]+30))
+	}, Entry("with two servers", 2), Entry("with 35 servers, of which one would nearly always be picked", 35))
+
+	// Guards against prefills that no retry budget knows of.
+	It("costs a request that is queued again no second prefill while its KV cache is valid, and else a retry", func() {
+		for _, valid := range []bool{false, true} {
+			for _, unsent := range []bool{false, true} {
+				h := zonedWith(2)
+				h.step(relay.EvacuationChanged{Domain: "b", Evacuated: true})
+				id := h.submitModel("/verdict/x")
+				p := h.advanceToPrefill(id)
+				if unsent {
+					d := h.prefilled(id, p)
+					h.evacuate(true)
+					h.step(relay.CallEnded{ID: id, Attempt: d.Attempt.Attempt, Outcome: relay.Unsent})
+				} else {
+					h.evacuate(true)
+					h.step(relay.Prefilled{ID: id, Attempt: p.Attempt.Attempt, Outcome: relay.Succeeded, Handle: "kv", Took: time.Millisecond})
+				}
+				expectNone[relay.Refuse](h)
+				if valid {
+					// The engine of the KV cache comes back, so the handle is valid again.
+					h.evacuate(false)
+				} else {
+					h.step(relay.EvacuationChanged{Domain: "b"})
+				}
+				r := expect[relay.Reserve](h)
+				h.step(relay.Reserved{ID: id, Attempt: r.Attempt.Attempt, Outcome: relay.Succeeded, Hold: "hold"})
+				if valid {
+					Expect(expect[relay.Decode](h).Handle).To(Equal("kv"))
+					continue
+				}
+				expect[relay.Prefill](h)
+				Expect(h.relay.RetriesTaken(id)).To(Equal(1))
+			}
+		}
 	})
 })
 
+func (h *host) prefilled(id relay.ID, p relay.Prefill) relay.Decode {
+	GinkgoHelper()
+	h.step(relay.Prefilled{ID: id, Attempt: p.Attempt.Attempt, Outcome: relay.Succeeded, Handle: "kv", Took: time.Millisecond})
+	return expect[relay.Decode](h)
+}
+
 // plainTarget sends a plain request, ends it and returns its server.
 func (h *host) plainTarget() ident.BackendID {
 	GinkgoHelper()
@@ -326,7 +369,7 @@
 	}
 }
 
-// finish answers what is left without further faults.
+// finish ends the run: it answers what is left, without outages or further evacuations.
 func (l *evacuationLoad) finish() {
 	GinkgoHelper()
 	for end := l.now.Add(90 * time.Second); l.now.Before(end) && len(l.open) > 0; {
--- a/pkg/relay/notices.go
+++ b/pkg/relay/notices.go
@@ -60,10 +60,10 @@
 	query.Unlimited = true
 	to, ok := r.backends.PickDecode(r.now, query)
 	if !ok && evacuated {
-		// The time that it has waited for the evacuated engine is not counted.
-		q.queueDeadline = r.now.Add(r.queueTimeout(q))
+		r.requeue(q)
+		return false
 	}
-	if !ok && (q.pinned || evacuated) {
+	if !ok && q.pinned {
 		r.release(q)
 		r.enqueue(q)
 		return false
--- a/pkg/relay/request.go
+++ b/pkg/relay/request.go
@@ -59,6 +59,8 @@
 	prefillUntil   time.Time     // deadline of the call there
 	handle         KVHandle      // of the prefilled KV cache, until it is sent
 	localPrefill   bool          // the decode engine does the prefill itself
+	sentHandle     KVHandle      // named in the last decode
+	prefilled      bool          // was queued again after its prefill; another one takes a retry
 
 	permits    []serverlimit.Process // for which it has permits that have not been used
 	permitUsed bool                  // the last call to a server used a permit
--- a/pkg/relay/staged.go
+++ b/pkg/relay/staged.go
@@ -229,6 +229,10 @@
 	if r.quarantined(q) {
 		return
 	}
+	if r.keepsPrefill(q) {
+		r.decode(q)
+		return
+	}
 	query := r.prefillQuery(q)
 	query.UnseenRequests = r.unreportedRequests(q.service.Name)
 	for {
@@ -326,7 +330,8 @@
 			d.FirstEvent += r.ownPrefillTime(q) * localPrefillFactor
 		}
 	}
-	q.reservation, q.sentHold, q.handle = "", q.reservation, KVHandle{}
+	q.reservation, q.sentHold = "", q.reservation
+	q.handle, q.sentHandle = KVHandle{}, q.handle
 	r.emit(d)
 }
 
@@ -393,6 +398,11 @@
 		r.decodeLocally(q)
 		return
 	}
+	if e.Outcome == Unsent && !q.started && r.backends.Evacuated(q.target) && r.hasTimeLeft(q) {
+		q.handle = q.sentHandle
+		r.requeue(q)
+		return
+	}
 	r.release(q)
 	if q.started && !r.originCertain(q) {
 		r.fail(q, OriginUnknown, 0)
