serverlimit: rate of a cold limit without a coordinator from the bound

Cause: hosts with small parts of a cold limit issued a fixed 60 % of it, which has no relation to the bound that operators set.

Change: the rate is that at which the bound (overage x limit + slack, in any one second) is four standard deviations above the mean number of permits that can be used in a second; coordinators leave room for what they save.

--- a/pkg/serverlimit/cold.go
+++ b/pkg/serverlimit/cold.go
@@ -1,6 +1,7 @@
 package serverlimit
 
 import (
+	"math"
 	"time"
 
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
@@ -145,6 +146,24 @@
 	return k.cold.active && max(l.cfg.Depth, k.rate()*l.cfg.DepthTime.Seconds())*k.share < 1
 }
 
+// deviations is the number of standard deviations between the mean and the bound of the
+// permits that hosts with small parts use in a second.
+const deviations = 4
+
+// coldRate returns the permits per second of a cold limit that all hosts together may issue.
+// Hosts with small parts do not know of each other's permits: after a time without requests,
+// the permits of unusedPermitTime and those of the second itself may be used in one second,
+// and their number varies by its square root.
+func (l *Limiter) coldRate(k *limit) float64 {
+	bound := l.cfg.ColdOverage*k.cold.perSecond + l.cfg.ColdSlack
+	if !l.smallPart(k) {
+		return max(0, bound-max(l.cfg.Depth, k.rate()*l.cfg.DepthTime.Seconds()))
+	}
+	const half = deviations / 2.0
+	root := math.Sqrt(half*half+bound) - half // mean + deviations x sqrt(mean) = bound
+	return root * root / (1 + unusedPermitTime.Seconds())
+}
+
 // dropUnused drops the permit of a small part after unusedPermitTime. The levels begin at
 // random, so the times at which the hosts have a permit are spread.
 func (l *Limiter) dropUnused(now time.Time, k *limit) {
--- a/pkg/serverlimit/coordinator.go
+++ b/pkg/serverlimit/coordinator.go
@@ -179,11 +179,11 @@
 
 // issueRate returns the permits per second that this host issues.
 func (l *Limiter) issueRate(k *limit) float64 {
-	share := l.cfg.Share
-	if l.smallPart(k) {
-		share = l.cfg.SmallShare
+	issued := max(k.rate(), l.cfg.MinRate) * l.cfg.Share
+	if k.cold.active {
+		issued = min(issued, l.coldRate(k))
 	}
-	return max(k.rate(), l.cfg.MinRate) * share * k.share
+	return issued * k.share
 }
 
 // depth returns the number of permits that a bucket saves.
--- a/pkg/serverlimit/limiter.go
+++ b/pkg/serverlimit/limiter.go
@@ -20,10 +20,10 @@
 	// Share is the part of a limit that is issued. The rest covers what a bucket has saved,
 	// so that a limit also holds over a few seconds after a pause.
 	Share float64
-	// SmallShare is the part of the limit of a cold server that is issued by hosts that each
-	// have a small part of it. They do not know of each other's permits, so their number in one
-	// second varies by its square root.
-	SmallShare float64
+	// ColdOverage and ColdSlack bound the requests that a cold server may get in any one second
+	// to ColdOverage x limit + ColdSlack.
+	ColdOverage float64
+	ColdSlack   float64
 	// Depth is the number of permits that a bucket saves, or DepthTime those of a time if
 	// that is more. A permit for which others come first is issued only from a full bucket.
 	Depth     float64
@@ -54,7 +54,8 @@
 		Self:         self,
 		Seed:         seed,
 		Share:        0.8,
-		SmallShare:   0.6,
+		ColdOverage:  1.5,
+		ColdSlack:    5,
 		Depth:        1.5,
 		DepthTime:    200 * time.Millisecond,
 		MinRate:      0.1,
