--- a/pkg/backends/directory.go
+++ b/pkg/backends/directory.go
@@ -62,7 +62,7 @@
 		cfg.Limits = serverlimit.New(serverlimit.DefaultConfig("", cfg.Seed), time.Time{})
 	}
 	if cfg.Evacuations == nil {
-		cfg.Evacuations = evacuation.New(evacuation.DefaultConfig())
+		cfg.Evacuations = evacuation.New(evacuation.DefaultConfig(), func(ident.FailureDomain) bool { return true })
 	}
 	return &Directory{
 		cfg:         cfg,
@@ -203,6 +203,13 @@
 	})
 }
 
+// ListedIn is like Listed for the servers of the failure domains that are allowed.
+func (d *Directory) ListedIn(service ident.Route, stage Stage, allowed func(ident.FailureDomain) bool) bool {
+	return slices.ContainsFunc(d.byService[service], func(s *server) bool {
+		return s.Stage == stage && !d.excluded(s) && allowed(s.Domain)
+	})
+}
+
 // suspended reports whether the server is in a back-off, see health.suspend.
 func (s *server) suspended(now time.Time) bool {
 	return s.health.backoff > 0 && now.Before(s.health.suspendedUntil)
--- a/pkg/backends/evacuated.go
+++ b/pkg/backends/evacuated.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mulberrystream/mulberrystream/pkg/evacuation"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
 )
 
 // evacuated reports whether the failure domain of a server is evacuated.
@@ -16,6 +17,16 @@
 // Evacuated reports whether the failure domain of a target is evacuated.
 func (d *Directory) Evacuated(t Target) bool { return d.cfg.Evacuations.Evacuated(t.Domain) }
 
+// HasDomain reports whether any known server is in a failure domain.
+func (d *Directory) HasDomain(domain ident.FailureDomain) bool {
+	for _, s := range d.servers {
+		if s.Domain == domain {
+			return true
+		}
+	}
+	return false
+}
+
 // rampShare returns the share of its usual load that a server should get.
 func (d *Directory) rampShare(now time.Time, s *server) float64 {
 	share := d.cfg.Evacuations.Share(now, s.Domain)
--- a/pkg/ident/ident.go
+++ b/pkg/ident/ident.go
@@ -16,6 +16,9 @@
 // FailureDomain names a set of hosts that a network partition isolates together.
 type FailureDomain string
 
+// Region names the part of the world in which a failure domain is.
+type Region string
+
 // Organisation names a customer that shares the fleet with others.
 type Organisation string
 
--- a/pkg/relay/config.go
+++ b/pkg/relay/config.go
@@ -7,6 +7,7 @@
 
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
 	"github.com/mulberrystream/mulberrystream/pkg/evacuation"
+	"github.com/mulberrystream/mulberrystream/pkg/ident"
 	"github.com/mulberrystream/mulberrystream/pkg/notes"
 	"github.com/mulberrystream/mulberrystream/pkg/origin"
 	"github.com/mulberrystream/mulberrystream/pkg/quarantine"
@@ -27,6 +28,9 @@
 	// Evacuation is for the failure domains that operators evacuate.
 	Evacuation evacuation.Config
 
+	// Regions maps each failure domain to its region; a domain that is missing has none.
+	Regions map[ident.FailureDomain]ident.Region
+
 	// StaleAfter is the age of the configuration beyond which requests that need a
 	// key are refused, because the key may have been revoked since. It is the
 	// platform's bound for revoked keys minus the time for which its watches may
--- a/pkg/relay/handle.go
+++ b/pkg/relay/handle.go
@@ -19,7 +19,8 @@
 // still shows the process that gave it, and its failure domain is not evacuated. It must be checked again when the connection
 // over which the handle is sent is there, because that can take as long as a handle lives.
 func (r *Relay) HandleValid(now time.Time, source backends.Target, expiry time.Time) bool {
-	return (expiry.IsZero() || now.Before(expiry)) && r.backends.Current(now, source) && !r.backends.Evacuated(source)
+	expired := !expiry.IsZero() && !now.Before(expiry)
+	return !expired && r.backends.Current(now, source) && !r.backends.Evacuated(source)
 }
 
 // keepHandle keeps the handle of the request's prefill.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -78,8 +78,9 @@
 // New returns a Relay that has no configuration yet.
 func New(cfg Config, now time.Time) *Relay {
 	cfg.Backends.Limits = serverlimit.New(cfg.Limits, now)
-	cfg.Backends.Evacuations = evacuation.New(cfg.Evacuation)
-	return &Relay{
+	var r *Relay
+	cfg.Backends.Evacuations = evacuation.New(cfg.Evacuation, func(d ident.FailureDomain) bool { return r.knowsDomain(d) })
+	r = &Relay{
 		cfg:            cfg,
 		now:            now,
 		roster:         roster.New(cfg.Roster),
@@ -106,6 +107,7 @@
 		predictor: outputlen.New(),
 		roles:     newRoles(),
 	}
+	return r
 }
 
 // Step handles an event and returns the effects to execute.
