catalog, backends, relay, platform: allowed regions of routes and organisations

Cause: a route or an organisation may restrict the regions whose servers get its requests, which hosts did not read.

A request has one filter for the failure domains that both lists allow; every choice of a server for it applies the filter, so KV caches move within them only. Without a listed server in them it is refused at once with 503 and no_allowed_region.

--- a/pkg/backends/pick.go
+++ b/pkg/backends/pick.go
@@ -20,6 +20,8 @@
 	// UnseenRequests is the expected number of requests like this one that other hosts
 	// have placed since their last load report.
 	UnseenRequests float64
+	// Allowed reports whether servers of a failure domain may be used; nil: all.
+	Allowed func(ident.FailureDomain) bool
 	// Unlimited excludes the servers that have named a limit.
 	Unlimited bool
 	// Version is the preferred software version, or the required one if Pinned is set;
@@ -51,7 +53,7 @@
 	if !d.askable(now, s, q) || s.Stage != q.Stage || d.excluded(s) || s.switching(now) || !s.listed(now) || !s.health.usable(now) || !s.accepts(now) {
 		return false
 	}
-	if !s.matchesVersion(q) {
+	if !s.matchesVersion(q) || q.Allowed != nil && !q.Allowed(s.Domain) {
 		return false
 	}
 	if q.Model != "" && len(s.Models) > 0 && !slices.Contains(s.Models, q.Model) {
--- a/pkg/catalog/types.go
+++ b/pkg/catalog/types.go
@@ -41,6 +41,8 @@
 	Priority      int           // 0 is the most urgent
 	MaxAttempts   int           // number of backend servers that a request may be sent to
 	Split         []Share
+	// AllowedRegions are the regions whose backend servers may get requests; empty means all.
+	AllowedRegions []ident.Region
 }
 
 // Service is a group of interchangeable backend servers.
@@ -74,6 +76,8 @@
 	DefaultTokens float64 // cost of a request that states no size, in tokens
 	// CountRequests makes every request cost DefaultTokens, whatever its size.
 	CountRequests bool
+	// AllowedRegions are as in Route. If both are set, both hold.
+	AllowedRegions []ident.Region
 }
 
 // Limits holds the limits on a caller's requests.
--- a/pkg/relay/admit.go
+++ b/pkg/relay/admit.go
@@ -73,6 +73,9 @@
 	if !r.backends.Listed(q.service.Name, answeringStage(q.service)) {
 		return 503, NoBackend, retryAfterStartup
 	}
+	if !r.restrict(q) {
+		return 503, NoRegion, retryAfterStartup
+	}
 	if wait := r.backends.TimeUntilAccepting(r.now, q.service.Name, answeringStage(q.service)); wait > 0 {
 		return 503, AskedToWait, r.spread(wait)
 	}
--- a/pkg/relay/effect.go
+++ b/pkg/relay/effect.go
@@ -26,6 +26,7 @@
 	AskedToWait Reason = "servers_asked_for_time"
 	BadPart     Reason = "quarantined_part" // of the prompt
 	NoPermit    Reason = "server_limits"
+	NoRegion    Reason = "no_allowed_region" // with a server of the service
 	// OriginUnknown and VersionGone refuse streams that cannot be resumed.
 	OriginUnknown Reason = "origin_unknown"
 	VersionGone   Reason = "version_gone"
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -17,6 +17,7 @@
 		Stage:           backends.Plain,
 		Exclude:         q.avoid,
 		PreferredDomain: r.cfg.Backends.Domain,
+		Allowed:         q.allowed,
 		UnseenRequests:  r.unreportedRequests(q.service.Name),
 	})
 	if !ok && len(q.avoid) > 0 {
--- a/pkg/relay/queue.go
+++ b/pkg/relay/queue.go
@@ -90,7 +90,7 @@
 		switch {
 		case start(it.Value):
 			return fairqueue.Take
-		case it.Value.pinned:
+		case it.Value.pinned || it.Value.allowed != nil:
 			return fairqueue.Skip
 		}
 		return fairqueue.Stop
--- a/pkg/relay/request.go
+++ b/pkg/relay/request.go
@@ -46,8 +46,10 @@
 	mayHaveRun bool          // a backend server may have run it
 	serverLost bool          // a backend server has not answered it completely
 	crashes    int           // backend servers that crashed when they began to answer it
-	traits     []ident.Trait // what it may have in common with others
-	probes     []ident.Trait // quarantined traits that it probes
+	// allowed reports whether servers of a failure domain may get it; nil: all.
+	allowed func(ident.FailureDomain) bool
+	traits  []ident.Trait // what it may have in common with others
+	probes  []ident.Trait // quarantined traits that it probes
 
 	target         backends.Target // plain backend server or decode engine
 	load           backends.Load   // counted at target
