serverlimit, relay: hosts of earlier programs do not coordinate cold limits

Cause: such a host knows no cold servers and denies every ask, so a cold server that it would coordinate got nothing in a mixed fleet.

Change: Message.KeepsCold (key 30) names the hosts that keep these limits; only they are chosen. It is sent only with a configuration that has cold_per_s.

--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -238,6 +238,9 @@
 	// KeepsOrigins says that the sender's program keeps the origins of streams.
 	KeepsOrigins bool         `cbor:"18,keyasint,omitempty"`
 	Notes        []notes.Note `cbor:"19,keyasint,omitempty"`
+	// KeepsCold says that the sender's program limits cold servers, and that its configuration
+	// has some.
+	KeepsCold bool `cbor:"30,keyasint,omitempty" json:",omitempty"`
 }
 
 // UnreachableNote names a backend server that the sender failed to reach.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -33,6 +33,7 @@
 	limitsUpdatedAt time.Time             // last call of updateServerLimits
 	limitNewsAt     time.Time             // last news of sendLimitMessages
 	keepsLimits     map[ident.HostID]bool // hosts whose program keeps the limits of servers
+	keepsCold       map[ident.HostID]bool // hosts whose program limits cold servers
 	cold            map[serverlimit.Process]coldStatement
 	coldServices    bool                // any service's servers may be cold
 	awaitingPermit  map[uint64]*request // by ask
@@ -88,6 +89,7 @@
 		quota:          quota.New(cfg.Quota, now),
 		parts:          quarantine.New(cfg.Parts),
 		keepsLimits:    map[ident.HostID]bool{},
+		keepsCold:      map[ident.HostID]bool{},
 		cold:           map[serverlimit.Process]coldStatement{},
 		awaitingPermit: map[uint64]*request{},
 		origins:        origin.New(cfg.Origins, now),
@@ -296,6 +298,7 @@
 		KeepsLimits:  true,
 		Limits:       r.backends.Limits().Notes(r.now),
 		KeepsOrigins: true,
+		KeepsCold:    r.coldServices,
 		Notes:        r.takeNotes(),
 	}
 	for id, l := range r.backends.OwnLoads() {
@@ -351,6 +354,7 @@
 	r.parts.Apply(r.now, m.Parts)
 	r.applyLeaving(from.ID, m.Leaving)
 	r.keepsLimits[from.ID] = m.KeepsLimits
+	r.keepsCold[from.ID] = m.KeepsCold
 	r.applyLimitMessage(m)
 	r.setKeeper(from.ID, m.KeepsOrigins)
 	r.applyOriginMessage(m)
@@ -397,6 +401,7 @@
 		delete(r.peerConfirmedAt, id)
 		delete(r.avoidReaderUntil, id)
 		delete(r.keepsLimits, id)
+		delete(r.keepsCold, id)
 		r.setKeeper(id, false)
 	}
 }
--- a/pkg/relay/serverlimits.go
+++ b/pkg/relay/serverlimits.go
@@ -57,11 +57,15 @@
 	converged := r.roster.Converged(r.now)
 	if converged && r.drainStartedAt.IsZero() {
 		f.Able = append(f.Able, r.cfg.Roster.Self.ID)
+		f.AbleCold = append(f.AbleCold, r.cfg.Roster.Self.ID)
 	}
 	for _, h := range r.roster.Alive(r.now) {
 		f.Reachable = append(f.Reachable, h.ID)
 		if converged && r.keepsLimits[h.ID] {
 			f.Able = append(f.Able, h.ID)
+			if r.keepsCold[h.ID] {
+				f.AbleCold = append(f.AbleCold, h.ID)
+			}
 		}
 	}
 	r.backends.Limits().SetFleet(r.now, f, r.backends.HasProcess)
--- a/pkg/serverlimit/cold.go
+++ b/pkg/serverlimit/cold.go
@@ -129,7 +129,7 @@
 // keepsOwnPart reports whether this host uses its own part of the limit of a cold process: it
 // knows no coordinator, or too many processes are cold.
 func (l *Limiter) keepsOwnPart(k *limit) bool {
-	return k.cold.active && k.lifted && (len(l.fleet.Able) == 0 || l.coldCount > maxLentCold)
+	return k.cold.active && k.lifted && (len(l.fleet.AbleCold) == 0 || l.coldCount > maxLentCold)
 }
 
 // hostsFor returns the number of hosts among which a limit is divided.
--- a/pkg/serverlimit/cold_test.go
+++ b/pkg/serverlimit/cold_test.go
@@ -120,6 +120,7 @@
 	converged := f.now.Sub(h.startedAt) >= max(1500*time.Millisecond, 3*f.interval())
 	if converged {
 		v.Able = append(slices.Clone(v.Reachable), h.id)
+		v.AbleCold = v.Able
 	}
 	if seedsHeard := h.number == 0 || len(h.heard) > 0; !converged || !f.heardSeeds(h) || !seedsHeard {
 		v.AssumedHosts = 4 * f.servers
@@ -366,3 +367,18 @@
 		hosts: 120, servers: 30, demand: constant(200), length: 12 * time.Second, coldFor: 6 * time.Second,
 		coldAt: func(s int) time.Duration { return time.Duration(s) * 150 * time.Millisecond }}, 0.9),
 )
+
+// Guards against a cold server that nobody issues permits for, because its coordinator would run
+// an earlier program.
+var _ = It("a host of an earlier program does not coordinate the limit of a cold server", func() {
+	l := serverlimit.New(serverlimit.DefaultConfig("self", 1), start)
+	l.SetFleet(start, serverlimit.Fleet{
+		Able: []ident.HostID{"old1", "old2", "old3", "self"}, AbleCold: []ident.HostID{"self"}, Reachable: []ident.HostID{"old1", "old2", "old3"},
+	}, func(serverlimit.Process) bool { return true })
+	for i := range 10 {
+		p := serverlimit.Process{ID: ident.BackendID(fmt.Sprint("s", i)), StartedAt: 1}
+		l.SetCold(start, p, coldPerSecond, start.Add(time.Minute))
+		outcome, _ := l.Acquire(start, p, serverlimit.Applicant{})
+		Expect(outcome).NotTo(Equal(serverlimit.Pending))
+	}
+})
--- a/pkg/serverlimit/limiter.go
+++ b/pkg/serverlimit/limiter.go
@@ -72,6 +72,8 @@
 	// Able are the reachable hosts that can coordinate, this one included if it can; empty
 	// while hosts are still being discovered.
 	Able []ident.HostID
+	// AbleCold are those of Able whose programs keep the limits of cold servers.
+	AbleCold []ident.HostID
 	// Reachable are all reachable hosts, Silent those that have gone silent without notice,
 	// and Stopped those that have announced that they stop.
 	Reachable, Silent, Stopped []ident.HostID
@@ -211,14 +213,18 @@
 		l.lend(now, k, l.cfg.Self)
 		return
 	}
+	able := l.fleet.Able
+	if k.cold.active && k.lifted {
+		able = l.fleet.AbleCold
+	}
 	var inUse []ident.HostID
 	for _, id := range []ident.HostID{k.coordinator, k.proposed} {
-		if slices.Contains(l.fleet.Able, id) {
+		if slices.Contains(able, id) {
 			inUse = append(inUse, id)
 		}
 	}
 	if len(inUse) == 0 {
-		inUse = l.fleet.Able
+		inUse = able
 	}
 	k.proposed = ""
 	l.lend(now, k, ident.Owner(string(p.ID), inUse))
