--- a/pkg/backends/directory.go
+++ b/pkg/backends/directory.go
@@ -6,8 +6,10 @@
 	"slices"
 	"time"
 
+	"github.com/mulberrystream/mulberrystream/pkg/evacuation"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 	"github.com/mulberrystream/mulberrystream/pkg/serverlimit"
+	"github.com/mulberrystream/mulberrystream/pkg/serverspeed"
 )
 
 // Directory is the set of known backend servers with their load and health. It is
@@ -29,6 +31,7 @@
 	limits       *serverlimit.Limiter
 	withheld     map[ident.BackendID]int64 // start times of the processes withheld after a restore
 	withheldTill time.Time
+	reportAge    time.Duration // see SetReportAge
 }
 
 type server struct {
@@ -45,6 +48,8 @@
 	waitUntil   time.Time // it wants nothing from this host until then, see AskForTime
 	unusedUntil time.Time // the entry may be outdated until then, see StoreRestored
 	lastFull    time.Time // last rejection for lack of capacity
+	hidden      hiddenLoad
+	freed       freedMemory
 
 	switchTo    Stage // target stage of a pending switch
 	switchUntil time.Time
@@ -60,6 +65,12 @@
 	if cfg.Limits == nil {
 		cfg.Limits = serverlimit.New(serverlimit.DefaultConfig("", cfg.Seed), time.Time{})
 	}
+	if cfg.Speeds == nil {
+		cfg.Speeds = serverspeed.New()
+	}
+	if cfg.Evacuations == nil {
+		cfg.Evacuations = evacuation.New(evacuation.DefaultConfig(), func(ident.FailureDomain) bool { return true })
+	}
 	return &Directory{
 		cfg:         cfg,
 		limits:      cfg.Limits,
@@ -180,7 +191,7 @@
 		if s.switching(now) {
 			at = s.switchTo
 		}
-		if at == stage && !s.departing() && s.listed(now) && !s.suspended(now) {
+		if at == stage && !d.excluded(s) && s.listed(now) && !s.suspended(now) {
 			n++
 		}
 	}
@@ -191,11 +202,18 @@
 // says.
 func (s *server) departing() bool { return s.Draining || s.leaving }
 
-// Listed reports whether any server of a service in a stage is known and not departing,
+// Listed reports whether any server of a service in a stage is known and not excluded,
 // whether or not it is reachable.
 func (d *Directory) Listed(service ident.Route, stage Stage) bool {
 	return slices.ContainsFunc(d.byService[service], func(s *server) bool {
-		return s.Stage == stage && !s.departing()
+		return s.Stage == stage && !d.excluded(s)
+	})
+}
+
+// ListedIn is like Listed for the servers of the failure domains that are allowed.
+func (d *Directory) ListedIn(service ident.Route, stage Stage, allowed func(ident.FailureDomain) bool) bool {
+	return slices.ContainsFunc(d.byService[service], func(s *server) bool {
+		return s.Stage == stage && !d.excluded(s) && allowed(s.Domain)
 	})
 }
 
--- a/pkg/backends/pick.go
+++ b/pkg/backends/pick.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/serverspeed"
 )
 
 // Query describes a request that needs a server.
@@ -20,6 +21,8 @@
 	// UnseenRequests is the expected number of requests like this one that other hosts
 	// have placed since their last load report.
 	UnseenRequests float64
+	// Allowed reports whether servers of a failure domain may be used; nil: all.
+	Allowed func(ident.FailureDomain) bool
 	// Unlimited excludes the servers that have named a limit.
 	Unlimited bool
 	// Version is the preferred software version, or the required one if Pinned is set;
@@ -30,6 +33,11 @@
 	// reached later than that: they may have started again with another version, which the
 	// list does not show yet.
 	ListedAsOf time.Time
+	// Expected is the time that a stream is expected to take at a typical engine; 0 if unknown.
+	Expected time.Duration
+	TimeLeft time.Duration // until the deadline
+	// Freed restricts the choice to engines with memory that this host alone knows to be free.
+	Freed bool
 }
 
 const (
@@ -48,10 +56,10 @@
 
 // eligible reports whether a server may get the request, its load aside.
 func (d *Directory) eligible(now time.Time, s *server, q Query) bool {
-	if !d.askable(now, s, q) || s.Stage != q.Stage || s.departing() || s.switching(now) || !s.listed(now) || !s.health.usable(now) || !s.accepts(now) {
+	if !d.askable(now, s, q) || s.Stage != q.Stage || d.excluded(s) || s.switching(now) || !s.listed(now) || !s.health.usable(now) || !s.accepts(now) {
 		return false
 	}
-	if !s.matchesVersion(q) {
+	if !s.matchesVersion(q) || q.Allowed != nil && !q.Allowed(s.Domain) {
 		return false
 	}
 	if q.Model != "" && len(s.Models) > 0 && !slices.Contains(s.Models, q.Model) {
@@ -69,6 +77,9 @@
 		scarce = d.scarceVersions(now, q.Service)
 	}
 	all := d.candidates(q.Service, func(s *server) (float64, bool) {
+		if q.Freed && s.freedMemory(now) == 0 {
+			return 0, false
+		}
 		if !d.eligible(now, s, q) || now.Sub(s.lastFull) < fullBackoff && !s.lastFull.IsZero() {
 			return 0, false
 		}
@@ -77,12 +88,17 @@
 			share, penalty = scarceShare, penalty+scarcePenalty
 		}
 		l := s.totalLoad()
+		l.Memory += s.hiddenMemory(now, d.reportAge)
+		if q.Freed {
+			// The known loads are older than what is known to be free.
+			l.Memory = min(l.Memory, q.MemoryPerServer-int64(float64(s.freedMemory(now))/freedShare))
+		}
 		if float64(l.Memory+q.Need.Memory) > share*float64(q.MemoryPerServer) || float64(l.Requests) >= share*float64(q.SlotsPerServer) {
 			return 0, false
 		}
-		return float64(l.Memory)/float64(q.MemoryPerServer) + penalty, true
+		return float64(l.Memory)/float64(q.MemoryPerServer) + d.speedCost(now, s, q) + penalty, true
 	})
-	return d.pick(now, all, q.UnseenRequests*float64(q.Need.Memory)/float64(q.MemoryPerServer))
+	return d.pick(now, d.ramped(now, all), q.UnseenRequests*float64(q.Need.Memory)/float64(q.MemoryPerServer))
 }
 
 // PickPrefill returns an engine that would finish the prefill of a prompt soon, and the
@@ -93,13 +109,13 @@
 			return 0, false
 		}
 		// The cost is in seconds: a penalty of 1 counts as 100 ms.
-		return s.prefillSeconds(q) + d.penalty(now, s, q)/10, true
+		return d.prefillSeconds(now, s, q) + d.penalty(now, s, q)/10, true
 	})
-	t, ok := d.pick(now, all, q.UnseenRequests*float64(q.Need.Prompt)/d.PrefillRate(q.Service))
+	t, ok := d.pick(now, d.ramped(now, all), q.UnseenRequests*float64(q.Need.Prompt)/d.PrefillRate(q.Service))
 	if !ok {
 		return t, 0, false
 	}
-	return t, durationOf(d.servers[t.ID].prefillSeconds(q)), true
+	return t, durationOf(d.prefillSeconds(now, d.servers[t.ID], q)), true
 }
 
 // PrefillTime returns the shortest expected time until any engine would finish the
@@ -107,7 +123,10 @@
 func (d *Directory) PrefillTime(now time.Time, q Query) (time.Duration, bool) {
 	least, ok := 0.0, false
 	for _, s := range d.byService[q.Service] {
-		if t := s.prefillSeconds(q); d.canPrefill(now, s, q) && (!ok || t < least) {
+		if !d.canPrefill(now, s, q) {
+			continue
+		}
+		if t := d.prefillSeconds(now, s, q); !ok || t < least {
 			least, ok = t, true
 		}
 	}
@@ -121,8 +140,13 @@
 
 // prefillSeconds returns the expected seconds until a server would finish the prefill of
 // a prompt, with the prompts queued before it.
-func (s *server) prefillSeconds(q Query) float64 {
-	return float64(s.totalLoad().Prompt+q.Need.Prompt) / s.prefillRate()
+func (d *Directory) prefillSeconds(now time.Time, s *server, q Query) float64 {
+	seconds := float64(s.totalLoad().Prompt+q.Need.Prompt) / s.prefillRate()
+	if s.throughput.prefillRate == 0 {
+		// Other hosts have measured what this one has not.
+		seconds *= d.slowness(now, s, serverspeed.Prefill)
+	}
+	return seconds
 }
 
 // durationOf converts seconds to a time.Duration.
@@ -141,12 +165,17 @@
 			return 0, false
 		}
 		slots += n
-		return float64(l.Requests)/float64(n) + d.penalty(now, s, q), true
+		cost := float64(l.Requests)/float64(n) + d.penalty(now, s, q)
+		if f := d.slowness(now, s, serverspeed.Call); f != 1 {
+			// The expected wait in typical call times, beyond that of one call.
+			cost += (f - 1) * (1 + float64(l.Requests)/float64(n))
+		}
+		return cost, true
 	})
 	if len(all) == 0 {
 		return Target{}, false
 	}
-	return d.pick(now, all, q.UnseenRequests*float64(len(all))/float64(slots))
+	return d.pick(now, d.ramped(now, all), q.UnseenRequests*float64(len(all))/float64(slots))
 }
 
 // penalty returns what failures, distance and unreachable reports add to the cost of a
@@ -196,7 +225,7 @@
 func (d *Directory) PickSwitch(now time.Time, service ident.Route, from Stage) (Target, bool) {
 	inDomain := map[ident.FailureDomain]int{}
 	for _, s := range d.byService[service] {
-		if s.Stage == from && !s.departing() && !s.switching(now) {
+		if s.Stage == from && !d.excluded(s) && !s.switching(now) {
 			inDomain[s.Domain]++
 		}
 	}
--- a/pkg/relay/admit.go
+++ b/pkg/relay/admit.go
@@ -29,6 +29,10 @@
 		return
 	}
 	q.expectedOutput = r.predictor.ExpectedOutput(q.route.Name, q.spec.MaxOutputTokens, q.spec.OutputHint)
+	if !q.spec.Resumes && r.hopeless(q) { // the output that is left of a resumed stream is not known
+		r.fail(q, NoTime, 0)
+		return
+	}
 	r.recordWork(q)
 	if q.spec.Resumes {
 		r.resolveOrigin(q)
@@ -73,6 +77,9 @@
 	if !r.backends.Listed(q.service.Name, answeringStage(q.service)) {
 		return 503, NoBackend, retryAfterStartup
 	}
+	if !r.restrict(q) {
+		return 503, NoRegion, retryAfterStartup
+	}
 	if wait := r.backends.TimeUntilAccepting(r.now, q.service.Name, answeringStage(q.service)); wait > 0 {
 		return 503, AskedToWait, r.spread(wait)
 	}
@@ -174,3 +181,13 @@
 func (q *request) retryable() bool {
 	return q.route.Kind == catalog.Idempotent || q.route.Kind == catalog.Stream && q.route.Resumable
 }
+
+// settleQuota gives back the output tokens that a complete stream was charged and did not use.
+func (r *Relay) settleQuota(q *request, e CallEnded) {
+	stride := q.service.Engine.TokensPerEvent
+	if q.chargedTokens == 0 || !q.spec.TokensKnown || q.org.CountRequests || stride <= 0 || q.runs > 1 || q.spec.Resumes {
+		return
+	}
+	used := float64(q.spec.PromptTokens + int64(e.Events*stride))
+	r.quota.Settle(r.now, q.org.Name, q.chargedTokens-used)
+}
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
 	"github.com/mulberrystream/mulberrystream/pkg/catalog"
+	"github.com/mulberrystream/mulberrystream/pkg/fleetview"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 	"github.com/mulberrystream/mulberrystream/pkg/notes"
 	"github.com/mulberrystream/mulberrystream/pkg/origin"
@@ -139,6 +140,19 @@
 // EntryRemoved reports that an entry is no longer listed or is unusable.
 type EntryRemoved struct{ ID ident.BackendID }
 
+// EvacuationsListed delivers all failure domains that are evacuated. In a list of the store it
+// comes before EntriesListed.
+type EvacuationsListed struct {
+	Domains []ident.FailureDomain
+	Era     uint64 // see EntriesListed
+}
+
+// EvacuationChanged reports that operators have evacuated a failure domain, or withdrawn that.
+type EvacuationChanged struct {
+	Domain    ident.FailureDomain
+	Evacuated bool
+}
+
 // ServerNoticed reports what a backend server says of itself in an answer.
 type ServerNoticed struct {
 	From      backends.Target
@@ -187,6 +201,8 @@
 func (EntriesListed) event()         {}
 func (EntryChanged) event()          {}
 func (EntryRemoved) event()          {}
+func (EvacuationsListed) event()     {}
+func (EvacuationChanged) event()     {}
 func (ServerNoticed) event()         {}
 func (PlatformReadSucceeded) event() {}
 func (PlatformReadFailed) event()    {}
@@ -202,11 +218,13 @@
 	Used      map[ident.Organisation]int64 `cbor:"2,keyasint,omitempty"` // tokens admitted since the process started
 	Load      []BackendLoad                `cbor:"3,keyasint,omitempty"` // the sender's requests in flight
 	// Orders are the sender's recent role orders with their ages.
-	Orders      []OrderNote       `cbor:"4,keyasint,omitempty"`
-	Work        []WorkNote        `cbor:"5,keyasint,omitempty"` // totals since the process started
-	AgeMS       int64             `cbor:"6,keyasint,omitempty"` // age of the sender's configuration
-	UpMS        int64             `cbor:"7,keyasint,omitempty"` // uptime of the sender's process
-	Unreachable []UnreachableNote `cbor:"8,keyasint,omitempty"` // backend servers that the sender recently failed to reach
+	Orders []OrderNote `cbor:"4,keyasint,omitempty"`
+	Work   []WorkNote  `cbor:"5,keyasint,omitempty"` // totals since the process started
+	AgeMS  int64       `cbor:"6,keyasint,omitempty"` // age of the sender's configuration
+	UpMS   int64       `cbor:"7,keyasint,omitempty"` // uptime of the sender's process
+	// Unreachable are the backend servers that the sender recently failed to reach. Like
+	// Leaving, it is sent while a host is known that does not read notes.
+	Unreachable []UnreachableNote `cbor:"8,keyasint,omitempty"`
 	Version     uint64            `cbor:"9,keyasint,omitempty"` // of the sender's configuration
 	// Relayed are admitted tokens that other hosts reported to the sender, see aggregators.
 	Relayed []quota.RelayedUse `cbor:"10,keyasint,omitempty"`
@@ -223,6 +241,24 @@
 	// KeepsOrigins says that the sender's program keeps the origins of streams.
 	KeepsOrigins bool         `cbor:"18,keyasint,omitempty"`
 	Notes        []notes.Note `cbor:"19,keyasint,omitempty"`
+	// KeepsNotes says that the sender's program reads Unreachable and Leaving from notes.
+	KeepsNotes bool `cbor:"20,keyasint,omitempty"`
+	// Fleet is what the sender sees of the fleet; nil from older programs.
+	Fleet *fleetview.Report `cbor:"21,keyasint,omitempty"`
+	// KeepsCold says that the sender's program limits cold servers, and that its configuration
+	// has some.
+	KeepsCold bool `cbor:"22,keyasint,omitempty" json:",omitempty"`
+	// Offers are memory that the sender knows to be free and has no use for.
+	Offers []Offer `cbor:"30,keyasint,omitempty"`
+}
+
+// Offer is memory of a decode engine that only the sender knows to be free.
+type Offer struct {
+	_       struct{} `cbor:",toarray"`
+	Service ident.Route
+	Backend ident.BackendID
+	Memory  int64 // tokens of KV cache
+	Hops    int   // hosts to which it may still be offered
 }
 
 // UnreachableNote names a backend server that the sender failed to reach.
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -17,6 +17,7 @@
 		Stage:           backends.Plain,
 		Exclude:         q.avoid,
 		PreferredDomain: r.cfg.Backends.Domain,
+		Allowed:         q.allowed,
 		UnseenRequests:  r.unreportedRequests(q.service.Name),
 	})
 	if !ok && len(q.avoid) > 0 {
@@ -51,6 +52,7 @@
 	q.attempt++
 	q.usePermit(to)
 	r.addLoad(q, to, backends.Load{Requests: 1})
+	q.callsPerSlot = r.callsPerSlot(to.ID)
 	r.emit(Call{Attempt: q.attemptInfo(), Organisation: q.organisation()})
 }
 
@@ -73,6 +75,7 @@
 	q.serverLost = q.serverLost || e.Outcome == Lost
 	r.recordOutcome(q.target.ID, e.Outcome, backends.Full)
 	r.recordParts(q, e)
+	r.recordCallSpeed(q, e)
 	r.release(q)
 	if e.Outcome.ran() {
 		q.mayHaveRun = true
@@ -125,6 +128,9 @@
 // recordOutcome reports the outcome of a call to the directory of backend servers.
 // refused is the fault that a refusal by the server indicates.
 func (r *Relay) recordOutcome(id ident.BackendID, o Outcome, refused backends.Fault) {
+	if e, ok := r.backends.Entry(id); ok && o == Unsent && r.evacuations.Evacuated(e.Domain) {
+		return // it was held back, which says nothing of the server
+	}
 	switch o {
 	case Succeeded:
 		r.backends.Succeeded(r.now, id)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -7,6 +7,8 @@
 
 	"github.com/mulberrystream/mulberrystream/pkg/backends"
 	"github.com/mulberrystream/mulberrystream/pkg/catalog"
+	"github.com/mulberrystream/mulberrystream/pkg/evacuation"
+	"github.com/mulberrystream/mulberrystream/pkg/fleetview"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
 	"github.com/mulberrystream/mulberrystream/pkg/notes"
 	"github.com/mulberrystream/mulberrystream/pkg/origin"
@@ -24,22 +26,29 @@
 	now     time.Time
 	effects []Effect
 
-	roster          *roster.Roster
-	notes           *notes.Carrier
-	quota           *quota.Limiter
-	parts           *quarantine.Tracker
-	partNotesAt     time.Time             // last message of sendPartNotes
-	limitsUpdatedAt time.Time             // last call of updateServerLimits
-	limitNewsAt     time.Time             // last news of sendLimitMessages
-	keepsLimits     map[ident.HostID]bool // hosts whose program keeps the limits of servers
-	awaitingPermit  map[uint64]*request   // by ask
-	origins         *origin.Tracker
-	resumption      resumption
-	backends        *backends.Directory
-	budgets         map[ident.Route]*retry.Budget
-	queues          map[ident.Route]*queue
-	requests        map[ID]*request
-	admissionRates  map[ident.Route]*rate
+	roster               *roster.Roster
+	view                 *fleetview.View
+	announcedUnreachable map[ident.BackendID]time.Time // failures that are in notes
+	announcedLeaving     map[ident.BackendID]time.Time // when the announcement was last put in a note
+	notes                *notes.Carrier
+	quota                *quota.Limiter
+	parts                *quarantine.Tracker
+	partNotesAt          time.Time             // last message of sendPartNotes
+	limitsUpdatedAt      time.Time             // last call of updateServerLimits
+	limitNewsAt          time.Time             // last news of sendLimitMessages
+	keepsLimits          map[ident.HostID]bool // hosts whose program keeps the limits of servers
+	keepsCold            map[ident.HostID]bool // hosts whose program limits cold servers
+	cold                 map[serverlimit.Process]coldStatement
+	coldServices         bool                // any service's servers may be cold
+	awaitingPermit       map[uint64]*request // by ask
+	origins              *origin.Tracker
+	resumption           resumption
+	backends             *backends.Directory
+	evacuations          *evacuation.Tracker
+	budgets              map[ident.Route]*retry.Budget
+	queues               map[ident.Route]*queue
+	requests             map[ID]*request
+	admissionRates       map[ident.Route]*rate
 
 	snapshot    *catalog.Snapshot
 	confirmedAt time.Time // the snapshot is at least as recent as this
@@ -51,6 +60,7 @@
 	polledReader          int       // number of polls of readers while the platform is unreachable
 	storeEra              uint64    // latest seen era of the platform's store
 	storeRevision         uint64    // highest seen revision of storeEra
+	offers                []Offer   // of this step
 	latestVersion         uint64    // highest version of the configuration that any host has
 	backendsListed        bool      // the list of backend servers has been read once
 	failingSince          time.Time // first failed read since the last success; zero if connected
@@ -69,28 +79,39 @@
 	aggregators        aggregators
 	roles              roles
 	rolesPlannedAt     time.Time
+	speedsReportedAt   time.Time
 }
 
 // New returns a Relay that has no configuration yet.
 func New(cfg Config, now time.Time) *Relay {
 	cfg.Backends.Limits = serverlimit.New(cfg.Limits, now)
-	return &Relay{
+	cfg.Fleet.Self, cfg.Fleet.Seeds, cfg.Fleet.StopWindow = cfg.Roster.Self, cfg.Roster.Seeds, cfg.RetryWindow
+	var r *Relay
+	cfg.Backends.Evacuations = evacuation.New(cfg.Evacuation, func(d ident.FailureDomain) bool { return r.knowsDomain(d) })
+	r = &Relay{
 		cfg:            cfg,
 		now:            now,
 		roster:         roster.New(cfg.Roster),
+		view:           fleetview.New(cfg.Fleet, now),
 		notes:          notes.New(cfg.Notes),
 		quota:          quota.New(cfg.Quota, now),
 		parts:          quarantine.New(cfg.Parts),
 		keepsLimits:    map[ident.HostID]bool{},
+		keepsCold:      map[ident.HostID]bool{},
+		cold:           map[serverlimit.Process]coldStatement{},
 		awaitingPermit: map[uint64]*request{},
 		origins:        origin.New(cfg.Origins, now),
 		resumption:     newResumption(),
 		backends:       backends.NewDirectory(cfg.Backends),
+		evacuations:    cfg.Backends.Evacuations,
 		budgets:        map[ident.Route]*retry.Budget{},
 		queues:         map[ident.Route]*queue{},
 		requests:       map[ID]*request{},
 		admissionRates: map[ident.Route]*rate{},
 
+		announcedUnreachable: map[ident.BackendID]time.Time{},
+		announcedLeaving:     map[ident.BackendID]time.Time{},
+
 		peerConfirmedAt:  map[ident.HostID]time.Time{},
 		avoidReaderUntil: map[ident.HostID]time.Time{},
 		rng:              rand.New(rand.NewPCG(cfg.Backends.Seed, 1)),
@@ -99,6 +120,7 @@
 		predictor: outputlen.New(),
 		roles:     newRoles(),
 	}
+	return r
 }
 
 // Step handles an event and returns the effects to execute.
@@ -111,6 +133,7 @@
 	r.applyOrigins()
 	r.refuseQuarantined()
 	r.startQueued()
+	r.offerFreed()
 	r.sendHeartbeat()
 	r.relayReports()
 	r.sendPartNotes()
@@ -142,10 +165,16 @@
 	case EntriesListed:
 		r.entriesListed(e)
 	case EntryChanged:
+		started := !r.backends.HasProcess(e.Entry.Process())
 		r.backends.Put(e.Entry)
+		r.coldStated(e.Entry, started)
 		r.trackVersion(e.Entry)
 	case EntryRemoved:
 		r.entryRemoved(e.ID)
+	case EvacuationsListed:
+		r.evacuationsListed(e)
+	case EvacuationChanged:
+		r.evacuationChanged(e)
 	case ServerNoticed:
 		r.serverNoticed(e)
 	case PlatformReadSucceeded:
@@ -155,7 +184,9 @@
 	case MessageReceived:
 		r.messageReceived(e.Message)
 	case SeedsChanged:
+		r.cfg.Roster.Seeds = e.Seeds
 		r.roster.SetSeeds(e.Seeds)
+		r.view.SetSeeds(e.Seeds)
 	case Drain:
 		r.drain()
 	case HistoryRead:
@@ -231,18 +262,22 @@
 func (r *Relay) age() time.Duration { return r.now.Sub(r.confirmedAt) }
 
 func (r *Relay) tick() {
+	r.updateView()
 	r.updateQuotaFleet()
 	r.quota.Tick(r.now)
 	if r.connected() {
 		for _, id := range r.backends.ExpireMissing(r.now) {
 			r.log(Decision{Step: "backend_gone", Backend: id, Outcome: "removed, not listed again after the platform outage"})
 		}
+		r.tickEvacuations()
 	}
+	r.backends.SetReportAge(r.roster.Interval())
 	r.refreshBudgets()
 	r.dropSilentHosts()
 	r.suspendSilentDomains()
 	r.parts.Tick(r.now)
 	r.notes.Expire(r.now)
+	r.reportSpeeds()
 	r.updateServerLimits()
 	r.expireAsks()
 	r.tickOrigins()
@@ -279,17 +314,15 @@
 		KeepsLimits:  true,
 		Limits:       r.backends.Limits().Notes(r.now),
 		KeepsOrigins: true,
+		KeepsNotes:   true,
+		Fleet:        r.view.Report(),
+		KeepsCold:    r.coldServices,
 		Notes:        r.takeNotes(),
 	}
 	for id, l := range r.backends.OwnLoads() {
 		m.Load = append(m.Load, BackendLoad{Backend: id, Requests: l.Requests, Memory: l.Memory, Prompt: l.Prompt})
 	}
-	for _, d := range r.backends.UnreachableReports(r.now) {
-		m.Unreachable = append(m.Unreachable, UnreachableNote{Backend: d.ID, AgeMS: d.Age.Milliseconds()})
-	}
-	for _, l := range r.backends.LeavingReports(r.now) {
-		m.Leaving = append(m.Leaving, LeavingNote{Backend: l.ID, StartedAt: l.StartedAt})
-	}
+	r.addOldNotes(&m)
 	r.emit(Send{To: to, Message: m})
 }
 
@@ -299,6 +332,7 @@
 		r.parts.Apply(r.now, m.Parts)
 		r.applyLimitMessage(m)
 		r.applyOriginMessage(m)
+		r.applyOffers(m)
 		return
 	}
 	fresh, restarted := r.roster.Receive(r.now, m.Heartbeat)
@@ -308,6 +342,7 @@
 	if restarted {
 		r.log(Decision{Step: "peer_restarted", Peer: m.Heartbeat.From.ID, Outcome: "its counters restart at zero"})
 	}
+	r.applyView(m)
 	from := m.Heartbeat.From
 	confirmedAt := r.now.Add(-time.Duration(m.AgeMS) * time.Millisecond)
 	r.peerConfirmedAt[from.ID] = confirmedAt
@@ -334,6 +369,7 @@
 	r.parts.Apply(r.now, m.Parts)
 	r.applyLeaving(from.ID, m.Leaving)
 	r.keepsLimits[from.ID] = m.KeepsLimits
+	r.keepsCold[from.ID] = m.KeepsCold
 	r.applyLimitMessage(m)
 	r.setKeeper(from.ID, m.KeepsOrigins)
 	r.applyOriginMessage(m)
@@ -350,14 +386,15 @@
 }
 
 // updateQuotaFleet passes the known fleet state to the quota limiter. While a whole fleet
-// starts at once and its hosts have not found each other, the limiter assumes as many
-// entry hosts as there are backend servers.
+// starts at once and its hosts have not found each other, and until this host has known most
+// of them, the limiter assumes as many entry hosts as there are backend servers.
 func (r *Relay) updateQuotaFleet() {
 	assumed := 0
-	if !r.joinedRunningFleet && !r.roster.Converged(r.now) {
+	if !r.view.Established() || !r.joinedRunningFleet && !r.roster.Converged(r.now) {
 		assumed = r.backends.Size()
 	}
-	r.quota.SetFleet(r.roster.SilentAfter(), assumed)
+	r.quota.SetFleet(quota.SilentAfter(r.roster.Interval()), assumed)
+	r.quota.SetKnownHosts(r.view.Size())
 }
 
 // jointStartTolerance is the maximum difference in uptime between hosts that count as
@@ -365,7 +402,7 @@
 // the platform.
 const jointStartTolerance = 2 * time.Second
 
-// refreshBudgets sets this host's equal share of the fleet's retry slack.
+// refreshBudgets sets this host's share of the fleet's retry slack.
 func (r *Relay) refreshBudgets() {
 	floor, burst := r.retryShare()
 	for _, b := range r.budgets {
@@ -380,6 +417,7 @@
 		delete(r.peerConfirmedAt, id)
 		delete(r.avoidReaderUntil, id)
 		delete(r.keepsLimits, id)
+		delete(r.keepsCold, id)
 		r.setKeeper(id, false)
 	}
 }
@@ -399,7 +437,7 @@
 }
 
 func (r *Relay) retryShare() (floor, burst float64) {
-	share := r.cfg.RetrySlack * retryMargin / float64(r.roster.Size())
+	share := r.cfg.RetrySlack * retryMargin * r.view.Share()
 	return share * retryFloorShare / r.cfg.RetryWindow.Seconds(), share * retryBurstShare
 }
 
@@ -414,6 +452,11 @@
 			PerRequest: maxRetries,
 			Window:     r.cfg.RetryWindow,
 		}, r.now)
+		if at := r.view.SettledAt(); !r.view.SingleHost() {
+			// Until this host could use its part of the slack, the process before it or other
+			// hosts may have used that.
+			b.EmptyFloor(r.now, at)
+		}
 		r.budgets[service] = b
 	}
 	return b
--- a/pkg/relay/request.go
+++ b/pkg/relay/request.go
@@ -46,8 +46,10 @@
 	mayHaveRun bool          // a backend server may have run it
 	serverLost bool          // a backend server has not answered it completely
 	crashes    int           // backend servers that crashed when they began to answer it
-	traits     []ident.Trait // what it may have in common with others
-	probes     []ident.Trait // quarantined traits that it probes
+	// allowed reports whether servers of a failure domain may get it; nil: all.
+	allowed func(ident.FailureDomain) bool
+	traits  []ident.Trait // what it may have in common with others
+	probes  []ident.Trait // quarantined traits that it probes
 
 	target         backends.Target // plain backend server or decode engine
 	load           backends.Load   // counted at target
@@ -59,13 +61,18 @@
 	prefillUntil   time.Time     // deadline of the call there
 	handle         KVHandle      // of the prefilled KV cache, until it is sent
 	localPrefill   bool          // the decode engine does the prefill itself
-
-	permits    []serverlimit.Process // for which it has permits that have not been used
-	permitUsed bool                  // the last call to a server used a permit
-	ask        uint64                // for a permit, while it waits for the answer
-	askedFor   serverlimit.Process
-	askedAt    time.Time
-	resume     func(granted bool) // goes on after the answer
+	sentHandle     KVHandle      // named in the last decode
+	prefilled      bool          // was queued again after its prefill; another one takes a retry
+
+	permits      []serverlimit.Process // for which it has permits that have not been used
+	callsPerSlot float64               // at its plain server when it was sent
+	firstEventAt time.Time             // of the current decode
+	unsure       bool                  // its reservation is at an engine that may be full
+	permitUsed   bool                  // the last call to a server used a permit
+	ask          uint64                // for a permit, while it waits for the answer
+	askedFor     serverlimit.Process
+	askedAt      time.Time
+	resume       func(granted bool) // goes on after the answer
 
 	beganBy         serverlimit.Process // that sent the first event relayed
 	beganAt         time.Time
@@ -128,10 +135,10 @@
 	}
 }
 
-// takesControlCalls reports whether a server has neither asked for time nor named a limit, so
-// that calls that only free its memory early may be sent.
+// takesControlCalls reports whether a server has neither asked for time nor named a limit, and
+// its failure domain is not evacuated, so that calls that only free its memory early may be sent.
 func (r *Relay) takesControlCalls(t backends.Target) bool {
-	return !r.backends.Waits(r.now, t.ID) && !r.backends.Limits().Limited(t.Process())
+	return !r.backends.Evacuated(t) && !r.backends.Waits(r.now, t.ID) && !r.backends.Limits().Limited(t.Process())
 }
 
 func (r *Relay) releasePrefillLoad(q *request) {
--- a/pkg/relay/serverlimits.go
+++ b/pkg/relay/serverlimits.go
@@ -13,6 +13,7 @@
 
 // limitNoticed records what a backend server says of its limit.
 func (r *Relay) limitNoticed(e ServerNoticed) {
+	r.coldHeard(e)
 	first := !r.KnowsServerLimits()
 	c, changed := r.backends.Limits().Observe(r.now, e.SentAt, e.From.Process(), e.Notice.Limit)
 	if !changed {
@@ -43,21 +44,28 @@
 // updateServerLimits passes the state of the fleet to the limits of servers.
 func (r *Relay) updateServerLimits() {
 	r.backends.Limits().Tick(r.now)
-	if !r.KnowsServerLimits() || r.now.Sub(r.limitsUpdatedAt) < r.roster.Interval()/limitsUpdatesPerHeartbeat {
+	r.logWarmed()
+	if !r.KnowsServerLimits() && !r.coldServices || r.now.Sub(r.limitsUpdatedAt) < r.roster.Interval()/limitsUpdatesPerHeartbeat {
 		return
 	}
 	r.limitsUpdatedAt = r.now
+	r.forgetCold()
 	f := serverlimit.Fleet{
-		Silent: r.roster.Silent(r.now), Stopped: r.roster.Stopped(), MinHosts: r.cfg.Quota.MinHosts, HeartbeatInterval: r.roster.Interval(),
+		Silent: r.roster.Silent(r.now), Stopped: r.roster.Stopped(), MinHosts: r.assumedHosts(), HeartbeatInterval: r.roster.Interval(),
+		AssumedHosts: r.coldAssumedHosts(),
 	}
 	converged := r.roster.Converged(r.now)
 	if converged && r.drainStartedAt.IsZero() {
 		f.Able = append(f.Able, r.cfg.Roster.Self.ID)
+		f.AbleCold = append(f.AbleCold, r.cfg.Roster.Self.ID)
 	}
 	for _, h := range r.roster.Alive(r.now) {
 		f.Reachable = append(f.Reachable, h.ID)
 		if converged && r.keepsLimits[h.ID] {
 			f.Able = append(f.Able, h.ID)
+			if r.keepsCold[h.ID] {
+				f.AbleCold = append(f.AbleCold, h.ID)
+			}
 		}
 	}
 	r.backends.Limits().SetFleet(r.now, f, r.backends.HasProcess)
--- a/pkg/relay/staged.go
+++ b/pkg/relay/staged.go
@@ -109,7 +109,7 @@
 	}
 	query := r.decodeQuery(q)
 	for {
-		to, ok := r.backends.PickDecode(r.now, query)
+		to, ok := r.pickPaced(q, query)
 		if !ok {
 			q.waitingFor = "decode memory"
 			return false
@@ -158,12 +158,15 @@
 		Model:           q.spec.Model,
 		Exclude:         q.avoid,
 		PreferredDomain: r.cfg.Backends.Domain,
+		Allowed:         q.allowed,
 		Need:            backends.Load{Requests: 1, Memory: q.expectedMemory()},
 		MemoryPerServer: q.service.Engine.MemoryTokens,
 		SlotsPerServer:  q.service.Engine.Slots,
 		UnseenRequests:  r.unreportedRequests(q.service.Name),
 		Version:         q.version,
 		Pinned:          q.pinned,
+		Expected:        r.expectedStreamTime(q, q.expectedOutput),
+		TimeLeft:        q.deadline.Sub(r.now),
 	}
 	if _, sole := r.origins.Sole(r.now, q.service.Name); q.pinned && !sole {
 		query.ListedAsOf = r.confirmedAt
@@ -182,6 +185,7 @@
 	if e.Outcome == Succeeded {
 		r.backends.Reached(r.now, q.target.ID)
 		q.reservation = e.Hold
+		r.reservationGranted(q)
 		if !r.backends.Accepts(r.now, q.target) || !r.permitted(q) {
 			r.logRequest(q, "reserve", "engine takes no new requests")
 			r.release(q)
@@ -192,6 +196,9 @@
 		return
 	}
 	r.recordOutcome(q.target.ID, e.Outcome, backends.Full)
+	if e.Outcome == NotRun {
+		r.reservationRefused(q)
+	}
 	r.release(q)
 	r.logRequest(q, "reserve", e.Outcome.String())
 	r.enqueue(q)
@@ -208,6 +215,7 @@
 		Model:           q.spec.Model,
 		Exclude:         q.avoid,
 		PreferredDomain: near,
+		Allowed:         q.allowed,
 		Need:            backends.Load{Requests: 1, Memory: q.spec.PromptTokens, Prompt: q.spec.PromptTokens},
 		MemoryPerServer: q.service.Engine.MemoryTokens,
 		Version:         version,
@@ -229,6 +237,10 @@
 	if r.quarantined(q) {
 		return
 	}
+	if r.keepsPrefill(q) {
+		r.decode(q)
+		return
+	}
 	query := r.prefillQuery(q)
 	query.UnseenRequests = r.unreportedRequests(q.service.Name)
 	for {
@@ -287,6 +299,7 @@
 	r.releasePrefillLoad(q)
 	if e.Outcome == Succeeded {
 		r.backends.RecordPrefill(q.prefillTarget.ID, q.prefillBacklog, e.Took)
+		r.recordPrefillSpeed(q, e.Took)
 		r.keepHandle(q, e.Handle)
 		r.decode(q)
 		return
@@ -307,6 +320,7 @@
 	}
 	r.dropInvalidHandle(q)
 	q.phase = decoding
+	q.firstEventAt = time.Time{}
 	q.attempt++
 	q.usePermit(q.target)
 	d := Decode{
@@ -326,7 +340,8 @@
 			d.FirstEvent += r.ownPrefillTime(q) * localPrefillFactor
 		}
 	}
-	q.reservation, q.sentHold, q.handle = "", q.reservation, KVHandle{}
+	q.reservation, q.sentHold = "", q.reservation
+	q.handle, q.sentHandle = KVHandle{}, q.handle
 	r.emit(d)
 }
 
@@ -354,6 +369,7 @@
 		r.eventRelayed(q)
 	}
 	q.started = true
+	q.firstEventAt = r.now
 	q.mayHaveRun = true
 	r.backends.Succeeded(r.now, q.target.ID)
 	r.logRequest(q, "first_event", "relayed")
@@ -367,12 +383,15 @@
 	q.serverLost = q.serverLost || e.Outcome == Lost
 	r.recordOutcome(q.target.ID, e.Outcome, backends.Full)
 	r.recordParts(q, e)
+	r.recordStreamSpeed(q, e)
 	if e.Outcome.ran() {
 		q.mayHaveRun = true
 		q.runs++
 	}
 	if e.Outcome == Succeeded {
 		r.recordOutput(q, e)
+		r.settleQuota(q, e)
+		r.freedMemory(q)
 		r.logStreamEnd(q, e, "answer", "complete")
 		r.finish(q)
 		return
@@ -393,6 +412,11 @@
 		r.decodeLocally(q)
 		return
 	}
+	if e.Outcome == Unsent && !q.started && r.backends.Evacuated(q.target) && r.hasTimeLeft(q) {
+		q.handle = q.sentHandle
+		r.requeue(q)
+		return
+	}
 	r.release(q)
 	if q.started && !r.originCertain(q) {
 		r.fail(q, OriginUnknown, 0)
--- a/pkg/relayhost/calls.go
+++ b/pkg/relayhost/calls.go
@@ -58,7 +58,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	ctx, cancel := x.withDeadline(e.Deadline.Add(answerGrace))
 	defer cancel()
-	err := x.host.clients.forAddr(e.To.Addr).Do(ctx, req, resp)
+	err := x.host.clients.forAddr(e.To.Addr).Do(x.host.withTargetCheck(ctx, e.To), req, resp)
 	ended.Took = boottime.Now().Sub(begin)
 	if err != nil {
 		ended.Outcome = x.errorOutcome(err, e.To)
@@ -175,6 +175,7 @@
 	x.host.dialect.Reserve(req, e.To.ID, e.Tokens, e.TTL)
 	req.Header.SetHost(e.To.Addr)
 	hold, o := x.controlCall(e.Attempt, req, "", nil, x.host.dialect.ParseReservation)
+	x.host.metrics.countReservation(o)
 	return relay.Reserved{ID: e.ID, Attempt: e.Attempt.Attempt, Outcome: o, Hold: hold}
 }
 
@@ -206,7 +207,7 @@
 	if link != nil {
 		ctx = sendonce.WithLink(ctx, link)
 	}
-	if err := x.host.clients.forAddr(a.To.Addr).Do(ctx, req, resp); err != nil {
+	if err := x.host.clients.forAddr(a.To.Addr).Do(x.host.withTargetCheck(ctx, a.To), req, resp); err != nil {
 		o := x.errorOutcome(err, a.To)
 		if o == relay.Aborted {
 			// No answer within the call's own time limit counts as a lost answer.
@@ -240,6 +241,9 @@
 	if n.Limit.Kind == serverlimit.None && !h.core.serverLimits.Load() {
 		n.Limit = serverlimit.Statement{}
 	}
+	if n.Cold == 0 && !h.core.serverLimits.Load() {
+		n.ColdStated = false
+	}
 	if n != (backends.Notice{}) {
 		h.core.step(relay.ServerNoticed{From: from, SentAt: sentAt, RequestID: requestID, Notice: n})
 	}
@@ -259,7 +263,7 @@
 		ctx, cancel := context.WithTimeout(ctx, backgroundCallTimeout)
 		defer cancel()
 		begin := boottime.Now()
-		err := h.clients.forAddr(to.Addr).Do(ctx, req, resp)
+		err := h.clients.forAddr(to.Addr).Do(h.withTargetCheck(ctx, to), req, resp)
 		if err != nil {
 			h.logCallError(err, "", to)
 		} else {
