ingresstest: many misbehaving callers against the daemon's own process

Cause: nothing checked that callers outside anyone's control leave the process within its memory and its descriptors.

Change: a package with 52 cases of 600 callers each against a real mulberryrelay with memory_mb 64 and max_fds 500. Each checks that the process lives, that its peak resident memory and open descriptors are below these settings, and that one ordinary request is answered while the callers are still connected. make ingress-test runs it; make test leaves it out until the product passes.

--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,16 @@
 PKGS ?= ./...
 TIMEOUT ?= 10m
 
-.PHONY: test build fmt vet lint demo soak relay-soak relay-soak-large bench capacity known-red regression experiments docs-check mixed-fleet
+.PHONY: test build fmt vet lint demo soak relay-soak relay-soak-large bench capacity known-red regression experiments docs-check mixed-fleet ingress-test
 
 ## test: format check, vet, lint, build and all tests under the race detector.
 test: fmt vet lint build
-	$(GO) test -race -timeout $(TIMEOUT) $(PKGS)
+	$(GO) test -race -timeout $(TIMEOUT) $$($(GO) list $(PKGS) | grep -v '/internal/ingresstest$$')
+
+## ingress-test: many misbehaving callers of the daemons. They need the machine for
+## themselves, and the race detector would change the memory of the test.
+ingress-test:
+	$(GO) test -count=1 -p 1 -timeout $(TIMEOUT) ./internal/ingresstest
 
 fmt:
 	@bad=$$(gofmt -l $$(git ls-files '*.go')); \
