ingress: bound what callers make a mulberryrelay hold

Cause: bodies up to 64 KiB were read without a reservation or a deadline and before route and key were looked at; the number of header fields and of connections was unbounded; writes had no deadline; the readiness, peer and metrics listeners had the same gaps.

Change: pkg/ingress wraps all listeners. Connections are bounded from memory_mb and max_fds; idle ones are closed first, then requests that arrive slowly, never a running one. Heads and bodies of every size come from one budget, heads are bounded in bytes and fields, bodies and writes must make progress. relay.RefusedFromHead decides before a body is read, and unread bodies are discarded for 500 ms at most. New settings have flags of mulberryrelay; metrics and one log line in 10 s tell what was closed.

The test of body memory uses the new budget with the same callers, sizes and checks.

--- a/cmd/mulberryrelay/main.go
+++ b/cmd/mulberryrelay/main.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/mulberrystream/mulberrystream/internal/startsignals"
+	"github.com/mulberrystream/mulberrystream/pkg/ingress"
 	"github.com/mulberrystream/mulberrystream/platform"
 )
 
@@ -16,6 +17,7 @@
 	LogLevel string `arg:"--log-level,env:MULBERRYSTREAM_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
 	// RoleOrders is a string rather than a boolean flag so that it can default to on.
 	RoleOrders string `arg:"--role-orders,env:MULBERRYSTREAM_ROLE_ORDERS" default:"on" help:"on: change engines between prefill and decode when decode memory is short; off: leave them"`
+	ingress.Settings
 }
 
 // Description is the first paragraph of the help text.
@@ -41,7 +43,10 @@
 	if s.RoleOrders != "on" && s.RoleOrders != "off" {
 		return fmt.Errorf("setting --role-orders is %q: want on or off", s.RoleOrders)
 	}
+	if err := s.Settings.Validate(); err != nil {
+		return err
+	}
 	return platform.Run(platform.Options{
-		LogLevel: level, RoleOrders: s.RoleOrders == "on", Signals: startsignals.Received,
+		LogLevel: level, RoleOrders: s.RoleOrders == "on", Ingress: &s.Settings, Signals: startsignals.Received,
 	})
 }
--- a/pkg/relay/admit.go
+++ b/pkg/relay/admit.go
@@ -41,6 +41,32 @@
 // quota. If the request is refused it returns the status, reason and Retry-After;
 // otherwise status is 0.
 func (r *Relay) admit(q *request) (status int, reason Reason, retryAfter time.Duration) {
+	if status, reason, retryAfter := r.resolve(q); status != 0 {
+		return status, reason, retryAfter
+	}
+	if e := q.service.Engine; e != nil && e.MemoryTokens > 0 && q.maxMemory() > e.MemoryTokens {
+		return 503, TooLarge, 0
+	}
+	if !r.backends.Listed(q.service.Name, answeringStage(q.service)) {
+		return 503, NoBackend, retryAfterStartup
+	}
+	if wait := r.backends.TimeUntilAccepting(r.now, q.service.Name, answeringStage(q.service)); wait > 0 {
+		return 503, AskedToWait, r.spread(wait)
+	}
+	if wait, askable := r.backends.PermitWait(r.now, q.service.Name, answeringStage(q.service)); wait > 0 && !askable {
+		return 503, NoPermit, r.spread(wait)
+	}
+	r.setDeadlines(q)
+	q.traits = newTraits(q.organisation(), q.spec)
+	if wait, ok := r.checkParts(q); !ok {
+		return 503, BadPart, wait
+	}
+	return r.chargeQuota(q)
+}
+
+// resolve resolves the route, organisation and service of a request. If it is refused
+// whatever its body, it returns the status, reason and Retry-After; otherwise status is 0.
+func (r *Relay) resolve(q *request) (status int, reason Reason, retryAfter time.Duration) {
 	if r.snapshot == nil || !r.backendsListed {
 		return 503, NoConfig, retryAfterStartup
 	}
@@ -67,24 +93,14 @@
 	if q.service = r.snapshot.Choose(route, q.spec.firstRequest()); q.service == nil {
 		return 503, NoBackend, retryAfterStartup
 	}
-	if e := q.service.Engine; e != nil && e.MemoryTokens > 0 && q.maxMemory() > e.MemoryTokens {
-		return 503, TooLarge, 0
-	}
-	if !r.backends.Listed(q.service.Name, answeringStage(q.service)) {
-		return 503, NoBackend, retryAfterStartup
-	}
-	if wait := r.backends.TimeUntilAccepting(r.now, q.service.Name, answeringStage(q.service)); wait > 0 {
-		return 503, AskedToWait, r.spread(wait)
-	}
-	if wait, askable := r.backends.PermitWait(r.now, q.service.Name, answeringStage(q.service)); wait > 0 && !askable {
-		return 503, NoPermit, r.spread(wait)
-	}
-	r.setDeadlines(q)
-	q.traits = newTraits(q.organisation(), q.spec)
-	if wait, ok := r.checkParts(q); !ok {
-		return 503, BadPart, wait
-	}
-	return r.chargeQuota(q)
+	return 0, "", 0
+}
+
+// RefusedFromHead returns the refusal of a request whose body has not been read, or false if
+// that cannot be decided yet. It changes nothing.
+func (r *Relay) RefusedFromHead(spec RequestSpec) (Refuse, bool) {
+	status, reason, retryAfter := r.resolve(&request{spec: spec, arrived: r.now})
+	return Refuse{Status: status, Reason: reason, RetryAfter: retryAfter}, status != 0
 }
 
 // answeringStage returns the stage of the backend servers that produce the answers of
--- a/pkg/relayhost/bodies.go
+++ b/pkg/relayhost/bodies.go
@@ -1,107 +1,83 @@
 package relayhost
 
 import (
-	"bytes"
-	"context"
 	"errors"
-	"fmt"
 	"io"
+	"net"
 	"net/http"
-	"time"
 
-	"golang.org/x/sync/semaphore"
-)
+	"go.uber.org/zap"
 
-const (
-	// defaultMaxBodyBytes limits bodies until the first configuration arrives.
-	defaultMaxBodyBytes = 1 << 20
-	// smallBodyBytes is the size up to which a body is read without a reservation. The
-	// operators' connection limit bounds the total of small bodies.
-	smallBodyBytes = 64 << 10
-	// bodyBudgetShare is the share of the memory limit that larger bodies may use in
-	// total. The runtime needs about as much again until it has freed them.
-	bodyBudgetShare = 0.25
-	// minBodyBudget lets at least one body of the largest common size be read.
-	minBodyBudget = 4 << 20
-	// bodyBudgetWait is how long a request waits for memory. A longer wait leaves less
-	// of its deadline for the answer.
-	bodyBudgetWait = 500 * time.Millisecond
-	// bodyTimeout limits how long a larger body may take to arrive, so that callers
-	// that stop sending do not hold its memory.
-	bodyTimeout = 15 * time.Second
+	"github.com/mulberrystream/mulberrystream/pkg/ingress"
+	"github.com/mulberrystream/mulberrystream/pkg/relay"
 )
 
-// errBodyBudget is returned when the memory for request bodies is in use.
-var errBodyBudget = errors.New("request body memory exhausted")
-
-// bodyBudget limits the total memory of large request bodies. Without it, thirty callers
-// that announce 4 MB each would get a host with 112 MB killed for lack of memory.
-type bodyBudget struct {
-	capacity  int64 // bytes; 0 if the host has no memory limit
-	available *semaphore.Weighted
-}
+// defaultMaxBodyBytes limits bodies until the first configuration arrives.
+const defaultMaxBodyBytes = 1 << 20
 
-func newBodyBudget(memory int64) *bodyBudget {
-	if memory <= 0 {
-		return &bodyBudget{}
+func (h *Host) maxBodyBytes() int64 {
+	if l, ok := h.core.limits(); ok && l.BodyBytes > 0 {
+		return l.BodyBytes
 	}
-	capacity := max(minBodyBudget, int64(float64(memory)*bodyBudgetShare))
-	return &bodyBudget{capacity: capacity, available: semaphore.NewWeighted(capacity)}
+	return defaultMaxBodyBytes
 }
 
-// reserve reserves n bytes, at most the capacity, and returns a function that releases
-// them.
-func (b *bodyBudget) reserve(ctx context.Context, n int64) (release func(), err error) {
-	if b.capacity == 0 {
-		return func() {}, nil
+// receive reads the body of a request. It answers the request and returns false if the request
+// is refused, which is decided from the head if possible. The caller must release the body
+// after use.
+func (h *Host) receive(w http.ResponseWriter, r *http.Request, spec relay.RequestSpec) (body *ingress.Body, ok bool) {
+	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
+		return &ingress.Body{}, true
 	}
-	n = min(n, b.capacity)
-	ctx, cancel := context.WithTimeout(ctx, bodyBudgetWait)
-	defer cancel()
-	if err := b.available.Acquire(ctx, n); err != nil {
-		return nil, fmt.Errorf("%w: need %d of %d bytes", errBodyBudget, n, b.capacity)
-	}
-	return func() { b.available.Release(n) }, nil
-}
-
-// readBody reads a request's body. The caller must call release after use.
-func (h *Host) readBody(w http.ResponseWriter, r *http.Request) (body []byte, release func(), err error) {
-	limit := int64(defaultMaxBodyBytes)
-	if l, ok := h.core.limits(); ok && l.BodyBytes > 0 {
-		limit = l.BodyBytes
+	if refusal, ok := h.core.refusedFromHead(spec); ok {
+		h.refuse(w, r, spec, refusal)
+		return nil, false
 	}
-	src := http.MaxBytesReader(w, r.Body, limit)
-	var buf bytes.Buffer
-	if r.ContentLength > 0 {
-		buf.Grow(int(min(r.ContentLength, smallBodyBytes)) + bytes.MinRead)
-	}
-	switch _, err := io.CopyN(&buf, src, smallBodyBytes); {
-	case errors.Is(err, io.EOF):
-		return buf.Bytes(), func() {}, nil
-	case err != nil:
-		return nil, nil, err
-	}
-	need := limit
-	if r.ContentLength > 0 {
-		need = min(r.ContentLength, limit)
-	}
-	release, err = h.bodyBudget.reserve(r.Context(), need)
+	body, err := h.guard.ReadBody(r, h.maxBodyBytes())
 	if err != nil {
-		return nil, nil, err
+		h.refuseBody(w, r, spec, err)
+		return nil, false
 	}
-	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		release()
-		return nil, nil, fmt.Errorf("relayhost: set body read deadline: %w", err)
+	return body, true
+}
+
+// refuse answers a request whose body has not been read.
+func (h *Host) refuse(w http.ResponseWriter, r *http.Request, spec relay.RequestSpec, e relay.Refuse) {
+	d := relay.Decision{Step: "admit", RequestID: spec.RequestID, PromptParts: spec.SharedParts, Outcome: string(e.Reason)}
+	logDecision(h.log, d)
+	h.metrics.countDecision(d)
+	if !ingress.Discard(r) {
+		w.Header().Set("Connection", "close")
 	}
-	buf.Grow(int(need) - buf.Len() + bytes.MinRead)
-	if _, err := buf.ReadFrom(src); err != nil {
-		release()
-		return nil, nil, err
+	writeStatus(w, e.Status, e.RetryAfter)
+	h.metrics.countAnswer(e.Status)
+}
+
+// refuseBody answers a request whose body could not be read.
+func (h *Host) refuseBody(w http.ResponseWriter, r *http.Request, spec relay.RequestSpec, err error) {
+	var tooLarge *http.MaxBytesError
+	var netErr net.Error
+	status := http.StatusBadRequest // the body is malformed
+	switch {
+	case errors.As(err, &tooLarge):
+		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, ingress.ErrBudget), errors.Is(err, ingress.ErrEvicted):
+		status = http.StatusServiceUnavailable
+	case errors.Is(err, ingress.ErrTooSlow), errors.As(err, &netErr) && netErr.Timeout():
+		status = http.StatusRequestTimeout
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr), r.Context().Err() != nil:
+		h.log.Debug("relayhost: caller left within its body", zap.String("peer", r.RemoteAddr), zap.Error(err))
+		abort(r)
 	}
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		release()
-		return nil, nil, fmt.Errorf("relayhost: clear body read deadline: %w", err)
+	h.log.Info("relayhost: body refused", zap.String("request_id", spec.RequestID), zap.Int64("length", r.ContentLength),
+		zap.Int("status", status), zap.Error(err))
+	// The rest of the body is not read, so the connection cannot be reused.
+	w.Header().Set("Connection", "close")
+	ingress.Abandon(r)
+	if status == http.StatusServiceUnavailable {
+		writeStatus(w, status, ingress.BudgetWait)
+	} else {
+		writeStatus(w, status, 0)
 	}
-	return buf.Bytes(), release, nil
+	h.metrics.countAnswer(status)
 }
--- a/pkg/relayhost/bodies_test.go
+++ b/pkg/relayhost/bodies_test.go
@@ -12,6 +12,7 @@
 	"github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"github.com/mulberrystream/mulberrystream/pkg/ingress"
 	"github.com/mulberrystream/mulberrystream/pkg/relay"
 	"github.com/mulberrystream/mulberrystream/pkg/roster"
 )
@@ -25,20 +26,21 @@
 // done is closed.
 func bodyServer(t *testing.T, memory int64) (url string, reading chan int, done chan struct{}) {
 	h := &Host{
-		bodyBudget: newBodyBudget(memory),
-		core:       newCore(relay.New(relay.DefaultConfig(roster.Host{ID: "h"}, nil), time.Unix(1000, 0)), zap.NewNop(), newHostMetrics(), func(relay.Effect) {}),
-		log:        zap.NewNop(),
-		dialect:    emptyDialect{},
+		metrics: newHostMetrics(),
+		guard:   ingress.New(ingress.Config{Settings: ingress.DefaultSettings(), MemoryBytes: memory, Log: zap.NewNop()}),
+		core:    newCore(relay.New(relay.DefaultConfig(roster.Host{ID: "h"}, nil), time.Unix(1000, 0)), zap.NewNop(), newHostMetrics(), func(relay.Effect) {}),
+		log:     zap.NewNop(),
+		dialect: emptyDialect{},
 	}
 	reading, done = make(chan int, 100), make(chan struct{})
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, release, err := h.readBody(w, r)
+		body, err := h.guard.ReadBody(r, h.maxBodyBytes())
 		if err != nil {
-			h.refuseBody(w, r, err)
+			h.refuseBody(w, r, relay.RequestSpec{}, err)
 			return
 		}
-		defer release()
-		reading <- len(body)
+		defer body.Release()
+		reading <- len(body.Bytes)
 		<-done
 	}))
 	t.Cleanup(s.Close)
@@ -59,7 +61,7 @@
 func TestLargeBodiesShareABoundedMemory(t *testing.T) {
 	g := gomega.NewWithT(t)
 	const callers, size, fitting = 12, 1 << 20, 4
-	url, reading, done := bodyServer(t, minBodyBudget)
+	url, reading, done := bodyServer(t, fitting*size)
 	status := make(chan int, callers)
 	var wg sync.WaitGroup
 	for range callers {
@@ -78,8 +80,8 @@
 		g.Expect(<-reading).To(gomega.Equal(size))
 	}
 	small := make(chan int, 1)
-	go func() { small <- post(g, url, smallBodyBytes/2).StatusCode }()
-	g.Expect(<-reading).To(gomega.Equal(smallBodyBytes/2), "small bodies need no reservation")
+	go func() { small <- post(g, url, ingress.SmallBody/2).StatusCode }()
+	g.Expect(<-reading).To(gomega.Equal(ingress.SmallBody/2), "small bodies have memory of their own")
 	close(done)
 	wg.Wait()
 	g.Expect(<-small).To(gomega.Equal(http.StatusOK))
@@ -97,8 +99,8 @@
 	close(done)
 	g.Expect(post(g, url, defaultMaxBodyBytes).StatusCode).To(gomega.Equal(http.StatusOK))
 	g.Expect(<-reading).To(gomega.Equal(defaultMaxBodyBytes))
-	g.Expect(post(g, url, smallBodyBytes).StatusCode).To(gomega.Equal(http.StatusOK))
-	g.Expect(<-reading).To(gomega.Equal(smallBodyBytes))
+	g.Expect(post(g, url, ingress.SmallBody).StatusCode).To(gomega.Equal(http.StatusOK))
+	g.Expect(<-reading).To(gomega.Equal(ingress.SmallBody))
 	resp, err := http.Post(url, "text/plain", bytes.NewReader(make([]byte, defaultMaxBodyBytes+1)))
 	if err == nil { // the server may close the connection before it has read the whole body
 		g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusRequestEntityTooLarge))
--- a/pkg/relayhost/core.go
+++ b/pkg/relayhost/core.go
@@ -219,3 +219,10 @@
 	defer c.mu.Unlock()
 	return c.relay.Limits()
 }
+
+// refusedFromHead returns the refusal of a request whose body has not been read.
+func (c *core) refusedFromHead(spec relay.RequestSpec) (relay.Refuse, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.relay.RefusedFromHead(spec)
+}
--- a/pkg/relayhost/front.go
+++ b/pkg/relayhost/front.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/ingress"
 	"github.com/mulberrystream/mulberrystream/pkg/relay"
 	"github.com/mulberrystream/mulberrystream/pkg/sendonce"
 )
@@ -22,52 +21,21 @@
 	if h.core.isolated() {
 		w.Header().Set("Connection", "close")
 	}
-	body, release, err := h.readBody(w, r)
-	if err != nil {
-		h.refuseBody(w, r, err)
+	spec := h.dialect.ParseRequest(r)
+	body, ok := h.receive(w, r, spec)
+	if !ok {
 		return
 	}
-	defer release()
+	defer body.Release()
 	j := h.core.register()
 	defer h.core.unregister(j)
-	x := &exchange{host: h, job: j, w: w, r: r, body: body, spec: h.dialect.ParseRequest(r)}
-	x.spec.Content = ident.HashContent(r.RequestURI, body)
+	x := &exchange{host: h, job: j, w: w, r: r, body: body.Bytes, spec: spec}
+	x.spec.Content = ident.HashContent(r.RequestURI, body.Bytes)
 	h.core.step(relay.Arrived{ID: j.id, Spec: x.spec})
 	x.run()
 	x.end()
 }
 
-func (h *Host) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		h.log.Info("relayhost: body too large", zap.Int64("limit", tooLarge.Limit))
-		writeStatus(w, http.StatusRequestEntityTooLarge, 0)
-		return
-	}
-	if errors.Is(err, errBodyBudget) {
-		h.log.Info("relayhost: body refused", zap.String("request_id", h.dialect.ParseRequest(r).RequestID),
-			zap.Int64("length", r.ContentLength), zap.Error(err))
-		// The rest of the body is not read, so the connection cannot be reused.
-		w.Header().Set("Connection", "close")
-		writeStatus(w, http.StatusServiceUnavailable, bodyBudgetWait)
-		return
-	}
-	h.log.Debug("relayhost: reading request failed", zap.String("peer", r.RemoteAddr), zap.Error(err))
-	var netErr net.Error
-	switch {
-	case errors.As(err, &netErr) && netErr.Timeout():
-		w.Header().Set("Connection", "close")
-		writeStatus(w, http.StatusRequestTimeout, 0)
-	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr), r.Context().Err() != nil:
-		// The caller has left within its body, so there is no request to answer.
-		abort(r)
-	default:
-		// The rest of a malformed body cannot be told from the next request.
-		w.Header().Set("Connection", "close")
-		writeStatus(w, http.StatusBadRequest, 0)
-	}
-}
-
 // writeStatus writes an answer without a body from this host itself.
 func writeStatus(w http.ResponseWriter, status int, retryAfter time.Duration) {
 	if retryAfter > 0 {
@@ -123,11 +91,13 @@
 func (x *exchange) execute(e relay.Effect) (final bool) {
 	switch e := e.(type) {
 	case relay.Refuse:
+		x.conn().Answering()
 		writeStatus(x.w, e.Status, e.RetryAfter)
 		x.host.metrics.countAnswer(e.Status)
 		x.answered = true
 		return true
 	case relay.Deliver:
+		x.conn().Answering()
 		x.answered = x.writeBuffered()
 		return true
 	case relay.AbortAnswer:
@@ -155,13 +125,13 @@
 	}
 }
 
-// callerConn is the key of the caller's connection in the context of its requests.
-type callerConn struct{}
+// conn returns the caller's connection.
+func (x *exchange) conn() *ingress.Conn { return ingress.FromContext(x.r.Context()) }
 
 // abort closes the connection of a request so that its caller does not take the answer for
 // complete. It does not return.
 func abort(r *http.Request) {
-	if c, ok := r.Context().Value(callerConn{}).(*net.TCPConn); ok && !r.ProtoAtLeast(1, 1) {
+	if c := ingress.FromContext(r.Context()); c != nil && !r.ProtoAtLeast(1, 1) {
 		// Without chunks, an orderly end of the connection is the end of the body.
 		_ = c.SetLinger(0)
 	}
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -20,6 +20,7 @@
 
 	"github.com/mulberrystream/mulberrystream/pkg/boottime"
 	"github.com/mulberrystream/mulberrystream/pkg/follow"
+	"github.com/mulberrystream/mulberrystream/pkg/ingress"
 	"github.com/mulberrystream/mulberrystream/pkg/relay"
 )
 
@@ -49,7 +50,11 @@
 	Grace time.Duration
 	// MemoryBytes is the memory limit of the process; 0 means none.
 	MemoryBytes int64
-	LogLevel    zapcore.Level
+	// MaxFDs is the limit of open descriptors of the process; 0 means none.
+	MaxFDs int
+	// Ingress limits what callers may make the process hold.
+	Ingress  ingress.Settings
+	LogLevel zapcore.Level
 	// Reload reads the settings again and returns the seeds. If it is nil, settings
 	// are not reloaded.
 	Reload func() (seeds []string, err error)
@@ -57,20 +62,20 @@
 
 // Host runs the relay of one entry host.
 type Host struct {
-	cfg        Config
-	ctx        context.Context
-	log        *zap.Logger
-	core       *core
-	dialect    Dialect
-	decoder    Decoder
-	clients    *clients
-	peers      *peerSocket
-	mirror     *follow.Mirror
-	follower   *follow.Follower
-	metrics    *hostMetrics
-	seeds      []string // currently in use
-	bodyBudget *bodyBudget
-	active     *activeConns
+	cfg      Config
+	ctx      context.Context
+	log      *zap.Logger
+	core     *core
+	dialect  Dialect
+	decoder  Decoder
+	clients  *clients
+	peers    *peerSocket
+	mirror   *follow.Mirror
+	follower *follow.Follower
+	metrics  *hostMetrics
+	seeds    []string // currently in use
+	guard    *ingress.Guard
+	active   *activeConns
 }
 
 // memoryLimitShare is the share of the memory limit that is set as the soft limit of the Go
@@ -81,16 +86,18 @@
 // New creates a host and opens its socket for messages from other hosts.
 func New(cfg Config) (*Host, error) {
 	h := &Host{
-		cfg:        cfg,
-		log:        newLogger(os.Stdout, cfg.LogLevel, string(cfg.Relay.Roster.Self.ID)),
-		dialect:    cfg.Dialect,
-		decoder:    cfg.Decoder,
-		clients:    newClients(cfg.MemoryBytes, cfg.Dialect.EchoHeader()),
-		metrics:    newHostMetrics(),
-		bodyBudget: newBodyBudget(cfg.MemoryBytes),
-		seeds:      cfg.Relay.Roster.Seeds,
-		active:     newActiveConns(),
+		cfg:     cfg,
+		log:     newLogger(os.Stdout, cfg.LogLevel, string(cfg.Relay.Roster.Self.ID)),
+		dialect: cfg.Dialect,
+		decoder: cfg.Decoder,
+		clients: newClients(cfg.MemoryBytes, cfg.Dialect.EchoHeader()),
+		metrics: newHostMetrics(),
+		seeds:   cfg.Relay.Roster.Seeds,
+		active:  newActiveConns(),
 	}
+	h.guard = ingress.New(ingress.Config{
+		Settings: cfg.Ingress, MemoryBytes: cfg.MemoryBytes, MaxFDs: cfg.MaxFDs, Log: h.log, Metrics: h.metrics.set,
+	})
 	if cfg.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(cfg.MemoryBytes) * memoryLimitShare))
 	}
@@ -127,6 +134,7 @@
 		return err
 	}
 	g.Go(func() error { return h.core.run(ctx) })
+	g.Go(func() error { return h.guard.Run(ctx) })
 	g.Go(func() error {
 		return h.peers.receive(func(m relay.Message) { h.core.step(relay.MessageReceived{Message: m}) })
 	})
@@ -151,14 +159,13 @@
 }
 
 const (
-	// headerTimeout limits the time for reading a request's header, which frees the
-	// connections of callers that stop sending. It is longer than any limit that
-	// operators set.
-	headerTimeout = 15 * time.Second
+	// firstByteTimeout limits the time for which a new connection may send nothing. A caller
+	// may open it long before its first request.
+	firstByteTimeout = 15 * time.Second
 	// idleTimeout closes idle connections of callers. It is longer than the operators'
 	// limits, so that a connection that a caller may still reuse is not closed.
 	idleTimeout = 90 * time.Second
-	// maxHeaderBytes limits a request's header; it is above the operators' limits.
+	// maxHeaderBytes limits the head of a response of another host.
 	maxHeaderBytes = 64 << 10
 )
 
@@ -166,21 +173,20 @@
 func (h *Host) serve(g *errgroup.Group) ([]*http.Server, error) {
 	ready := http.NewServeMux()
 	ready.HandleFunc(h.cfg.ReadyPath, h.serveReady)
-	list := []struct {
+	type service struct {
 		addr    string
+		role    ingress.Role
 		handler http.Handler
-	}{
-		{h.cfg.CallerAddr, h},
-		{h.cfg.ReadyAddr, ready},
-		{h.cfg.PeerAddr, mirrorHandler(h.mirror)},
+	}
+	list := []service{
+		{h.cfg.CallerAddr, ingress.Callers, ingress.Handler(h)},
+		{h.cfg.ReadyAddr, ingress.Readiness, ingress.WithoutBody(ready)},
+		{h.cfg.PeerAddr, ingress.Peers, ingress.Handler(mirrorHandler(h.mirror))},
 	}
 	if h.cfg.MetricsAddr != "" {
 		mux := http.NewServeMux()
 		mux.HandleFunc(h.cfg.MetricsPath, func(w http.ResponseWriter, _ *http.Request) { h.metrics.write(w) })
-		list = append(list, struct {
-			addr    string
-			handler http.Handler
-		}{h.cfg.MetricsAddr, mux})
+		list = append(list, service{h.cfg.MetricsAddr, ingress.Metrics, ingress.WithoutBody(mux)})
 	}
 	var servers []*http.Server
 	for _, l := range list {
@@ -190,20 +196,22 @@
 		}
 		s := &http.Server{
 			Handler:           l.handler,
-			ReadHeaderTimeout: headerTimeout,
+			ReadHeaderTimeout: firstByteTimeout,
 			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
+			MaxHeaderBytes:    h.cfg.Ingress.HeaderBytes,
+			ConnContext:       ingress.ConnContext,
+			ConnState:         ingress.ConnState,
 			ErrorLog:          zap.NewStdLog(h.log.WithOptions(zap.IncreaseLevel(zapcore.ErrorLevel))),
 		}
-		if l.addr == h.cfg.CallerAddr {
-			s.ConnState = h.active.connState
-			s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-				return context.WithValue(ctx, callerConn{}, c)
+		if l.role == ingress.Callers {
+			s.ConnState = func(c net.Conn, state http.ConnState) {
+				ingress.ConnState(c, state)
+				h.active.connState(c, state)
 			}
 		}
 		servers = append(servers, s)
 		g.Go(func() error {
-			if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.Serve(h.guard.Listen(ln, l.role, false)); !errors.Is(err, http.ErrServerClosed) {
 				return fmt.Errorf("relayhost: serve on %s: %w", l.addr, err)
 			}
 			return nil
--- a/pkg/relayhost/sharing.go
+++ b/pkg/relayhost/sharing.go
@@ -29,6 +29,8 @@
 	// maxPageBytes limits an answer: a page of entries, or the configuration, which the
 	// platform limits to 1 MiB.
 	maxPageBytes = 4 << 20
+	// maxReadRequest limits a call of another host, which holds two short keys at most.
+	maxReadRequest = 4 << 10
 )
 
 type listRequest struct {
@@ -49,12 +51,12 @@
 	mux.Handle(listProcedure, connect.NewUnaryHandler(listProcedure,
 		func(ctx context.Context, req *connect.Request[listRequest]) (*connect.Response[follow.Page], error) {
 			return pageResponse(m.List(ctx, req.Msg.Prefix, req.Msg.After))
-		}, connect.WithCodec(cborcodec.Codec{})))
+		}, connect.WithCodec(cborcodec.Codec{}), connect.WithReadMaxBytes(maxReadRequest)))
 	mux.Handle(waitProcedure, connect.NewUnaryHandler(waitProcedure,
 		func(ctx context.Context, req *connect.Request[waitRequest]) (*connect.Response[follow.Page], error) {
 			wait := time.Duration(req.Msg.WaitMS) * time.Millisecond
 			return pageResponse(m.Wait(ctx, req.Msg.Prefix, follow.Position{Era: req.Msg.Era, Revision: req.Msg.After}, wait))
-		}, connect.WithCodec(cborcodec.Codec{})))
+		}, connect.WithCodec(cborcodec.Codec{}), connect.WithReadMaxBytes(maxReadRequest)))
 	return mux
 }
 
