make: run the tests with many misbehaving callers after the others

Cause: internal/ingresstest was left out of make test while the product did not pass it.

Change: make test runs it last, one package at a time and without the race detector, which would change the memory of the test process's machine.

--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,11 @@
 
 .PHONY: test build fmt vet lint demo soak relay-soak relay-soak-large bench capacity known-red regression experiments docs-check mixed-fleet ingress-test
 
-## test: format check, vet, lint, build and all tests under the race detector.
+## test: format check, vet, lint, build and all tests under the race detector. The tests of
+## internal/ingresstest run last and apart, see ingress-test.
 test: fmt vet lint build
 	$(GO) test -race -timeout $(TIMEOUT) $$($(GO) list $(PKGS) | grep -v '/internal/ingresstest$$')
+	if $(GO) list $(PKGS) | grep -q '/internal/ingresstest$$'; then $(MAKE) ingress-test; fi
 
 ## ingress-test: many misbehaving callers of the daemons. They need the machine for
 ## themselves, and the race detector would change the memory of the test.
