--- a/pkg/entryhost/admin.go
+++ b/pkg/entryhost/admin.go
@@ -16,6 +16,9 @@
 // as long.
 const adminTimeout = 2 * time.Second
 
+// maxAdminBody limits a request's body, which names a log level.
+const maxAdminBody = 4 << 10
+
 // adminServer returns the HTTP server for operators. It has its own listener, so
 // that callers cannot reach it.
 func (h *Host) adminServer() *http.Server {
--- a/pkg/entryhost/host.go
+++ b/pkg/entryhost/host.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/mulberrystream/mulberrystream/pkg/engine/enginehttp"
 	"github.com/mulberrystream/mulberrystream/pkg/frontend"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/ingress"
 	"github.com/mulberrystream/mulberrystream/pkg/node"
 	"github.com/mulberrystream/mulberrystream/pkg/peer"
 	"github.com/mulberrystream/mulberrystream/pkg/platform"
@@ -38,6 +40,7 @@
 	driver              *driver.Driver
 	frontend            *frontend.Server
 	meter               *meter
+	guard               *ingress.Guard
 }
 
 // Open validates the settings and opens the listeners.
@@ -113,19 +116,34 @@
 		return fmt.Errorf("entryhost: peer TLS: %w", err)
 	}
 	h.peerTLS = serverTLS
+	h.meter = newMeter(slo.Config{FirstTokenTarget: h.settings.FirstTokenTarget})
+	h.guard = ingress.New(ingress.Config{
+		Settings: h.settings.ingress(), MemoryBytes: int64(h.settings.MemoryMB) << 20, MaxFDs: h.settings.MaxFDs,
+		Log: h.log, Metrics: h.meter.set,
+	})
+	if h.settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(h.settings.MemoryMB<<20) * memoryLimitShare))
+	}
+	h.caller = h.guard.Listen(h.caller, ingress.Callers, callerTLS != nil)
+	h.peer = h.guard.Listen(h.peer, ingress.Peers, serverTLS != nil)
+	h.admin = h.guard.Listen(h.admin, ingress.Readiness, false)
 	cfg := driver.DefaultConfig(h.nodeConfig())
 	h.platform = platform.New(h.settings.Platform, platform.Options{})
 	h.transport = peer.NewClient(clientTLS)
 	backends := driver.NewHTTPBackends(enginehttp.Options{ChunkTimeout: cfg.ChunkTimeout})
 	h.driver = driver.New(cfg, h.log, h.transport, backends, driver.HTTPPlatform{Client: h.platform})
-	h.meter = newMeter(slo.Config{FirstTokenTarget: h.settings.FirstTokenTarget})
-	h.frontend = frontend.New(frontend.DefaultConfig(), h.log, h.driver, h.meter)
+	h.frontend = frontend.New(frontend.DefaultConfig(), h.log, h.driver, h.meter, h.guard)
 	if callerTLS != nil {
 		h.caller = tls.NewListener(h.caller, callerTLS)
 	}
 	return nil
 }
 
+// memoryLimitShare is the share of the memory limit that is set as the soft limit of the Go
+// runtime. The rest covers memory that the runtime does not count, such as received bytes that
+// have not been read yet.
+const memoryLimitShare = 0.7
+
 func (h *Host) nodeConfig() node.Config {
 	s := h.settings
 	addr := s.PeerAddr
@@ -172,7 +190,10 @@
 	g, ctx := errgroup.WithContext(ctx)
 	peers := peer.NewServer(h.driver, h.peerTLS)
 	admin := h.adminServer()
+	h.guard.Protect(peers, peer.MaxMessageBytes)
+	h.guard.Protect(admin, maxAdminBody)
 	g.Go(func() error { return h.driver.Run(ctx) })
+	g.Go(func() error { return h.guard.Run(ctx) })
 	g.Go(func() error { return h.frontend.Serve(h.caller) })
 	g.Go(func() error { return servePeers(peers, h.peer, h.peerTLS != nil) })
 	g.Go(func() error { return serveAdmin(admin, h.admin) })
--- a/pkg/entryhost/settings.go
+++ b/pkg/entryhost/settings.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/ingress"
 	"github.com/mulberrystream/mulberrystream/pkg/limits"
 )
 
@@ -37,6 +38,18 @@
 	DrainLinger      time.Duration `arg:"--drain-linger,env:MULBERRYSTREAM_DRAIN_LINGER" default:"1s" help:"time during which a stopping host still accepts requests after it reports not ready"`
 	DrainLimit       time.Duration `arg:"--drain-limit,env:MULBERRYSTREAM_DRAIN_LIMIT" default:"10m" help:"maximum duration of a graceful shutdown; requests still running then are aborted"`
 	LogLevel         string        `arg:"--log-level,env:MULBERRYSTREAM_LOG_LEVEL" default:"info" help:"debug, info, warn or error; can be changed at run time on /loglevel"`
+
+	MemoryMB int `arg:"--memory-mb,env:MULBERRYSTREAM_MEMORY_MB" default:"0" help:"memory limit of the process in MiB, from which the limits of connections and bodies are derived; 0: none"`
+	MaxFDs   int `arg:"--max-fds,env:MULBERRYSTREAM_MAX_FDS" default:"0" help:"limit of open descriptors of the process, of which 200 are for files; 0: none"`
+	ingress.Settings
+}
+
+// ingress returns the limits of callers, which are the defaults if none are set.
+func (s Settings) ingress() ingress.Settings {
+	if s.Settings == (ingress.Settings{}) {
+		return ingress.DefaultSettings()
+	}
+	return s.Settings
 }
 
 // Description returns the first paragraph of the help text.
@@ -80,6 +93,13 @@
 	if s.DrainLimit <= s.DrainLinger {
 		invalid("drain-limit", s.DrainLimit, "want more than --drain-linger")
 	}
+	if s.MemoryMB < 0 {
+		invalid("memory-mb", s.MemoryMB, "want 0 or more")
+	}
+	if s.MaxFDs < 0 {
+		invalid("max-fds", s.MaxFDs, "want 0 or more")
+	}
+	errs = append(errs, s.ingress().Validate())
 	if _, err := zapcore.ParseLevel(s.LogLevel); err != nil {
 		invalid("log-level", s.LogLevel, "want debug, info, warn or error")
 	}
--- a/pkg/frontend/completion.go
+++ b/pkg/frontend/completion.go
@@ -38,6 +38,11 @@
 		refuse(ctx, codeContentType, "header Content-Type must be application/json")
 		return
 	}
+	body, ok := s.readBody(ctx)
+	if !ok {
+		return
+	}
+	defer body.Release()
 	req, err := parseCompletion(ctx.PostBody(), chat, s.cfg)
 	if err != nil {
 		refuse(ctx, codeBadRequest, err.Error())
--- a/pkg/frontend/input_test.go
+++ b/pkg/frontend/input_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/mulberrystream/mulberrystream/pkg/driver"
+	"github.com/mulberrystream/mulberrystream/pkg/ingress"
 	"github.com/mulberrystream/mulberrystream/pkg/keyring"
 	"github.com/mulberrystream/mulberrystream/pkg/ruleset"
 )
@@ -68,9 +69,10 @@
 	GinkgoHelper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	s := New(cfg, zap.NewNop(), refusingRouter{rules: testRules()}, nopMeter{})
+	guard := ingress.New(ingress.Config{Settings: ingress.DefaultSettings(), Log: zap.NewNop()})
+	s := New(cfg, zap.NewNop(), refusingRouter{rules: testRules()}, nopMeter{}, guard)
 	done := make(chan error, 1)
-	go func() { done <- s.Serve(ln) }()
+	go func() { done <- s.Serve(guard.Listen(ln, ingress.Callers, false)) }()
 	DeferCleanup(func(ctx SpecContext) {
 		Expect(s.Shutdown(ctx)).To(Succeed())
 		Expect(<-done).To(Succeed())
--- a/pkg/frontend/listener.go
+++ b/pkg/frontend/listener.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 
+	"github.com/mulberrystream/mulberrystream/pkg/ingress"
 	"github.com/mulberrystream/mulberrystream/pkg/tcpopt"
 )
 
@@ -21,7 +22,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("accept: %w", err)
 	}
-	if t, ok := c.(*net.TCPConn); ok {
+	tcp := c
+	if guarded := ingress.Of(c); guarded != nil {
+		tcp = guarded.Conn
+	}
+	if t, ok := tcp.(*net.TCPConn); ok {
 		// Errors are ignored: a connection without probes can still be served.
 		_ = t.SetKeepAliveConfig(net.KeepAliveConfig{
 			Enable:   true,
--- a/pkg/frontend/server.go
+++ b/pkg/frontend/server.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"net"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
 	"github.com/mulberrystream/mulberrystream/pkg/driver"
 	"github.com/mulberrystream/mulberrystream/pkg/ident"
+	"github.com/mulberrystream/mulberrystream/pkg/ingress"
 	"github.com/mulberrystream/mulberrystream/pkg/keyring"
 	"github.com/mulberrystream/mulberrystream/pkg/node"
 	"github.com/mulberrystream/mulberrystream/pkg/ruleset"
@@ -31,12 +33,13 @@
 	log    *zap.Logger
 	router Router
 	meter  Meter
+	guard  *ingress.Guard
 	http   *fasthttp.Server
 }
 
-// New returns a server that is not serving yet.
-func New(cfg Config, log *zap.Logger, r Router, m Meter) *Server {
-	s := &Server{cfg: cfg, log: log, router: r, meter: m}
+// New returns a server that is not serving yet. Its listener must be one of guard.
+func New(cfg Config, log *zap.Logger, r Router, m Meter, guard *ingress.Guard) *Server {
+	s := &Server{cfg: cfg, log: log, router: r, meter: m, guard: guard}
 	s.http = &fasthttp.Server{
 		Name:                         "mulberrystream",
 		Handler:                      s.handle,
@@ -44,7 +47,9 @@
 		ReadTimeout:                  cfg.ReadTimeout,
 		WriteTimeout:                 cfg.WriteTimeout,
 		IdleTimeout:                  cfg.IdleTimeout,
-		MaxRequestBodySize:           cfg.MaxBodyBytes,
+		StreamRequestBody:            true, // bodies are read by readBody
+		MaxRequestBodySize:           prefetchBytes,
+		ConnState:                    connState,
 		ReadBufferSize:               cfg.MaxHeaderBytes,
 		Concurrency:                  cfg.Concurrency,
 		NoDefaultServerHeader:        true,
@@ -95,7 +100,57 @@
 	ctx.SetConnectionClose()
 }
 
+// prefetchBytes is how much of a body fasthttp reads before the request is decided from its
+// head. It is the least that fasthttp allows.
+const prefetchBytes = 1
+
+func connState(c net.Conn, state fasthttp.ConnState) {
+	if state == fasthttp.StateIdle {
+		ingress.Of(c).Idle()
+	}
+}
+
+// unreadTime limits the time in which fasthttp reads the rest of a body that is not needed.
+const unreadTime = 500 * time.Millisecond
+
+// readBody reads the body of a request. If it cannot, it writes the error response and returns
+// false. The caller must release the body after use.
+func (s *Server) readBody(ctx *fasthttp.RequestCtx) (*ingress.Body, bool) {
+	length := int64(ctx.Request.Header.ContentLength())
+	if length < 0 && ctx.RequestBodyStream() == nil {
+		length = 0
+	}
+	body, err := s.guard.ReadStream(ctx, ingress.Of(ctx.Conn()), ctx.RequestBodyStream(), length, int64(s.cfg.MaxBodyBytes))
+	if err != nil {
+		status := ingress.Status(err)
+		code := codeBadRequest
+		if status == fasthttp.StatusServiceUnavailable {
+			code = node.CodeNotReady
+		}
+		refuse(ctx, code, "the request could not be read: "+fasthttp.StatusMessage(status))
+		ctx.SetStatusCode(status)
+		ctx.SetConnectionClose()
+		return nil, false
+	}
+	ctx.Request.SetBodyRaw(body.Bytes)
+	return body, true
+}
+
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	c := ingress.Of(ctx.Conn())
+	if !c.Begin(ctx.RequestBodyStream() != nil) {
+		_ = ctx.Conn().Close()
+		return
+	}
+	s.route(ctx)
+	if c != nil && ctx.Request.IsBodyStream() {
+		// The body has not been read. fasthttp reads the rest, to use the connection again.
+		c.Answering()
+		_ = c.SetReadDeadline(time.Now().Add(unreadTime))
+	}
+}
+
+func (s *Server) route(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch {
 	case path == "/healthz":
--- a/pkg/frontend/service.go
+++ b/pkg/frontend/service.go
@@ -31,6 +31,11 @@
 			return
 		}
 	}
+	body, ok := s.readBody(ctx)
+	if !ok {
+		return
+	}
+	defer body.Release()
 	if containsKey(ctx) {
 		refuse(ctx, codeBadRequest, "the key may stand in header Authorization only, since the rest goes to the service")
 		return
--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -16,11 +17,12 @@
 type phase int
 
 const (
-	idle      phase = iota // between requests, or before the first
-	inHead                 // a part of a request's head has arrived
-	inBody                 // the head has been read, the body has not
-	running                // the whole request has been read
-	answering              // a response is written that no server is working on
+	idle       phase = iota // between requests, or before the first
+	inHead                  // a part of a request's head has arrived
+	inBody                  // the head has been read, the body has not
+	running                 // the whole request has been read
+	answering               // a refusal is written
+	delivering              // a server's whole response is written
 )
 
 // Errors of reading from a connection that the guard has interrupted.
@@ -111,7 +113,7 @@
 	var status, reason string
 	switch {
 	case c.phase != inHead || !check:
-	case c.listener.countLines && c.lines > s.HeaderFields+1: // with the request line
+	case c.lines > s.HeaderFields+2: // with the request line and the empty one
 		status, reason = "431 Request Header Fields Too Large", "fields"
 	case c.bytes > int64(s.HeaderBytes):
 		status, reason = "431 Request Header Fields Too Large", "head"
@@ -147,7 +149,7 @@
 func (c *Conn) received(p []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == idle {
+	if c.phase == idle && !c.listener.encrypted {
 		c.enter(inHead)
 	}
 	c.bytes += int64(len(p))
@@ -201,10 +203,14 @@
 	return true
 }
 
-// Answering tells that a response is written, that no server is working on the request any
-// more, and that the connection may therefore be closed when connections run short.
+// Answering tells that a refusal is written, so that the connection may be closed when
+// connections run short.
 func (c *Conn) Answering() { c.change(answering) }
 
+// Delivering tells that the whole response of a server is written, so that the connection may
+// be closed when connections run short and the caller does not read.
+func (c *Conn) Delivering() { c.change(delivering) }
+
 // Idle tells that the response to a request has been written.
 func (c *Conn) Idle() { c.change(idle) }
 
@@ -313,11 +319,14 @@
 // server has written all earlier responses by then.
 func (c *Conn) refuse(status, reason string) {
 	c.listener.guard.count(reason)
-	writeRefusal(c.Conn, status)
+	c.listener.writeRefusal(c.Conn, status)
 	c.Interrupt(errHead)
 }
 
-func writeRefusal(c net.Conn, status string) {
+func (l *Listener) writeRefusal(c net.Conn, status string) {
+	if l.encrypted {
+		return
+	}
 	_ = c.SetWriteDeadline(time.Now().Add(rawWriteTimeout))
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status)
 }
@@ -330,6 +339,14 @@
 	return nil
 }
 
+// SyscallConn returns the connection's socket.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	if s, ok := c.Conn.(syscall.Conn); ok {
+		return s.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // SetLinger sets what Close does with data that has not been sent, as net.TCPConn.SetLinger.
 func (c *Conn) SetLinger(seconds int) error {
 	if t, ok := c.Conn.(*net.TCPConn); ok {
--- a/pkg/ingress/guard.go
+++ b/pkg/ingress/guard.go
@@ -59,9 +59,8 @@
 	guard *Guard
 	role  Role
 	max   int
-	// countLines is false if the lines of heads cannot be seen, since the connection is
-	// encrypted above it.
-	countLines bool
+	// encrypted tells that TLS is used above the connections, so that heads cannot be seen.
+	encrypted bool
 
 	mu      sync.Mutex
 	conns   map[*Conn]struct{}
@@ -71,7 +70,7 @@
 // Listen wraps a listener. encrypted tells that TLS is used above it.
 func (g *Guard) Listen(ln net.Listener, role Role, encrypted bool) *Listener {
 	l := &Listener{
-		Listener: ln, guard: g, role: role, max: g.plan.conns[role], countLines: !encrypted,
+		Listener: ln, guard: g, role: role, max: g.plan.conns[role], encrypted: encrypted,
 		conns: map[*Conn]struct{}{},
 	}
 	g.mu.Lock()
@@ -100,7 +99,7 @@
 			return guarded, nil
 		}
 		l.guard.count("connections")
-		writeRefusal(c, "503 Service Unavailable")
+		l.writeRefusal(c, "503 Service Unavailable")
 		_ = c.Close()
 	}
 }
@@ -145,11 +144,10 @@
 }
 
 const (
-	// slowAfter is how long a request must have been arriving before it counts as slow when
-	// connections or memory run short.
+	// slowAfter is how long a request must have been arriving, or a caller must not have read,
+	// before it counts as slow when connections or memory run short.
 	slowAfter = time.Second
-	// answerTime is how long a response that no server works on may take when connections run
-	// short.
+	// answerTime is how long writing a refusal may take when connections run short.
 	answerTime = 100 * time.Millisecond
 )
 
@@ -186,6 +184,9 @@
 	case inHead, inBody:
 		k.class, k.rate = 2, float64(c.bytes)/age.Seconds()
 		return k, age > slowAfter
+	case delivering:
+		k.class = 3
+		return k, !c.blocked.IsZero() && now.Sub(c.blocked) > slowAfter
 	}
 	return k, false
 }
@@ -293,7 +294,7 @@
 	switch {
 	case headLate:
 		c.listener.guard.count("slow head")
-		writeRefusal(c.Conn, "408 Request Timeout")
+		c.listener.writeRefusal(c.Conn, "408 Request Timeout")
 		_ = c.Conn.Close()
 	case bodyLate:
 		c.listener.guard.count("slow body")
--- a/pkg/ingress/http.go
+++ b/pkg/ingress/http.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -43,6 +44,48 @@
 	}))
 }
 
+// WithBody passes requests to next with their whole body of at most limit bytes, for which
+// memory is reserved until the response has been written.
+func (g *Guard) WithBody(limit int64, next http.Handler) http.Handler {
+	return Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !hasBody(r) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		body, err := g.ReadBody(r, limit)
+		if err != nil {
+			w.Header().Set("Connection", "close")
+			Abandon(r)
+			w.WriteHeader(Status(err))
+			return
+		}
+		defer body.Release()
+		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(body.Bytes)), int64(len(body.Bytes))
+		next.ServeHTTP(w, r)
+	}))
+}
+
+// Protect makes a server, whose listener is one of the guard, use its limits. Bodies are read
+// as a whole, up to maxBody bytes.
+func (g *Guard) Protect(s *http.Server, maxBody int64) {
+	s.Handler = g.WithBody(maxBody, s.Handler)
+	s.ConnContext, s.ConnState, s.MaxHeaderBytes = ConnContext, ConnState, g.settings.HeaderBytes
+}
+
+// Status returns the status for a request whose body could not be read.
+func Status(err error) int {
+	var netErr net.Error
+	switch {
+	case errors.As(err, new(*http.MaxBytesError)):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, ErrBudget), errors.Is(err, ErrEvicted):
+		return http.StatusServiceUnavailable
+	case errors.Is(err, ErrTooSlow), errors.As(err, &netErr) && netErr.Timeout():
+		return http.StatusRequestTimeout
+	}
+	return http.StatusBadRequest
+}
+
 func hasBody(r *http.Request) bool {
 	return r.Body != nil && r.Body != http.NoBody && r.ContentLength != 0
 }
@@ -118,6 +161,12 @@
 	return g.readBody(r.Context(), FromContext(r.Context()), r.Body, r.ContentLength, limit)
 }
 
+// ReadStream is like ReadBody for a server that is not net/http. length is negative if it is
+// not known.
+func (g *Guard) ReadStream(ctx context.Context, c *Conn, src io.Reader, length, limit int64) (*Body, error) {
+	return g.readBody(ctx, c, src, length, limit)
+}
+
 // readBody reads a body of length bytes, or of unknown length if it is negative.
 func (g *Guard) readBody(ctx context.Context, c *Conn, src io.Reader, length, limit int64) (*Body, error) {
 	if src == nil || length == 0 {
--- a/pkg/ingress/ingress_test.go
+++ b/pkg/ingress/ingress_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -63,16 +62,7 @@
 	}
 	w.Header().Set("Connection", "close")
 	Abandon(r)
-	switch {
-	case errors.As(err, new(*http.MaxBytesError)):
-		w.WriteHeader(http.StatusRequestEntityTooLarge)
-	case errors.Is(err, ErrTooSlow):
-		w.WriteHeader(http.StatusRequestTimeout)
-	case errors.Is(err, ErrBudget), errors.Is(err, ErrEvicted):
-		w.WriteHeader(http.StatusServiceUnavailable)
-	default:
-		w.WriteHeader(http.StatusBadRequest)
-	}
+	w.WriteHeader(Status(err))
 }
 
 func connect(t *testing.T, addr, send string) (net.Conn, *bufio.Reader) {
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -17,9 +17,9 @@
 // procedure is the URL path of the only RPC.
 const procedure = "/mulberrystream.peer.v1.Peer/Deliver"
 
-// maxMessageBytes bounds one delivery. A batch holds at most one part of a
+// MaxMessageBytes bounds one delivery. A batch holds at most one part of a
 // generation and one host list, which stays well below it at the target size.
-const maxMessageBytes = 8 << 20
+const MaxMessageBytes = 8 << 20
 
 // gzipName is connect's default compression. It is disabled: nearly all deliveries
 // are a few hundred bytes, and compressing their empty answers cost more than
@@ -87,7 +87,7 @@
 		c.http,
 		c.scheme+"://"+addr+procedure,
 		connect.WithCodec(cborcodec.Codec{}),
-		connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithReadMaxBytes(MaxMessageBytes),
 		connect.WithAcceptCompression(gzipName, nil, nil),
 	)
 	c.clients[addr] = cl
@@ -112,7 +112,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(procedure, connect.NewUnaryHandler(procedure, deliver,
 		connect.WithCodec(cborcodec.Codec{}),
-		connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithReadMaxBytes(MaxMessageBytes),
 		connect.WithCompression(gzipName, nil, nil),
 	))
 	protocols := new(http.Protocols)
--- a/pkg/relayhost/bodies.go
+++ b/pkg/relayhost/bodies.go
@@ -55,17 +55,9 @@
 
 // refuseBody answers a request whose body could not be read.
 func (h *Host) refuseBody(w http.ResponseWriter, r *http.Request, spec relay.RequestSpec, err error) {
-	var tooLarge *http.MaxBytesError
 	var netErr net.Error
-	status := http.StatusBadRequest // the body is malformed
-	switch {
-	case errors.As(err, &tooLarge):
-		status = http.StatusRequestEntityTooLarge
-	case errors.Is(err, ingress.ErrBudget), errors.Is(err, ingress.ErrEvicted):
-		status = http.StatusServiceUnavailable
-	case errors.Is(err, ingress.ErrTooSlow), errors.As(err, &netErr) && netErr.Timeout():
-		status = http.StatusRequestTimeout
-	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr), r.Context().Err() != nil:
+	status := ingress.Status(err)
+	if status == http.StatusBadRequest && (errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) || r.Context().Err() != nil) {
 		h.log.Debug("relayhost: caller left within its body", zap.String("peer", r.RemoteAddr), zap.Error(err))
 		abort(r)
 	}
--- a/pkg/relayhost/front.go
+++ b/pkg/relayhost/front.go
@@ -97,7 +97,7 @@
 		x.answered = true
 		return true
 	case relay.Deliver:
-		x.conn().Answering()
+		x.conn().Delivering()
 		x.answered = x.writeBuffered()
 		return true
 	case relay.AbortAnswer:
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -181,7 +181,7 @@
 	list := []service{
 		{h.cfg.CallerAddr, ingress.Callers, ingress.Handler(h)},
 		{h.cfg.ReadyAddr, ingress.Readiness, ingress.WithoutBody(ready)},
-		{h.cfg.PeerAddr, ingress.Peers, ingress.Handler(mirrorHandler(h.mirror))},
+		{h.cfg.PeerAddr, ingress.Peers, h.guard.WithBody(maxReadRequest, mirrorHandler(h.mirror))},
 	}
 	if h.cfg.MetricsAddr != "" {
 		mux := http.NewServeMux()
--- a/pkg/relayhost/sharing.go
+++ b/pkg/relayhost/sharing.go
@@ -51,12 +51,12 @@
 	mux.Handle(listProcedure, connect.NewUnaryHandler(listProcedure,
 		func(ctx context.Context, req *connect.Request[listRequest]) (*connect.Response[follow.Page], error) {
 			return pageResponse(m.List(ctx, req.Msg.Prefix, req.Msg.After))
-		}, connect.WithCodec(cborcodec.Codec{}), connect.WithReadMaxBytes(maxReadRequest)))
+		}, connect.WithCodec(cborcodec.Codec{})))
 	mux.Handle(waitProcedure, connect.NewUnaryHandler(waitProcedure,
 		func(ctx context.Context, req *connect.Request[waitRequest]) (*connect.Response[follow.Page], error) {
 			wait := time.Duration(req.Msg.WaitMS) * time.Millisecond
 			return pageResponse(m.Wait(ctx, req.Msg.Prefix, follow.Position{Era: req.Msg.Era, Revision: req.Msg.After}, wait))
-		}, connect.WithCodec(cborcodec.Codec{}), connect.WithReadMaxBytes(maxReadRequest)))
+		}, connect.WithCodec(cborcodec.Codec{})))
 	return mux
 }
 
