make, ingresstest: stricter checks

Cause: make test with PKGS naming only internal/ingresstest ran go test with an empty list, and a pipe hid a failing go list. A process whose figures cannot be read passed the bounds.

Change: the list is built once and its failure ends the target; peaks of 0 fail a case. Loads, limits and bounds are unchanged.

--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,10 @@
 ## test: format check, vet, lint, build and all tests under the race detector. The tests of
 ## internal/ingresstest run last and apart, see ingress-test.
 test: fmt vet lint build
-	$(GO) test -race -timeout $(TIMEOUT) $$($(GO) list $(PKGS) | grep -v '/internal/ingresstest$$')
-	if $(GO) list $(PKGS) | grep -q '/internal/ingresstest$$'; then $(MAKE) ingress-test; fi
+	@all=$$($(GO) list $(PKGS)) || exit 1; \
+	others=$$(echo "$$all" | grep -v '/internal/ingresstest$$'); \
+	if [ -n "$$others" ]; then $(GO) test -race -timeout $(TIMEOUT) $$others || exit 1; fi; \
+	if [ "$$others" != "$$all" ]; then $(MAKE) ingress-test; fi
 
 ## ingress-test: many misbehaving callers of the daemons. They need the machine for
 ## themselves, and the race detector would change the memory of the test.
--- a/internal/ingresstest/callers_test.go
+++ b/internal/ingresstest/callers_test.go
@@ -185,6 +185,8 @@
 	t.Logf("peak resident memory %d kB of %d, descriptors %d of %d", p.peakKB, memoryMB<<10, p.fds, maxFDs)
 	g.Expect(p.alive()).To(gomega.BeTrue(), "the process has ended")
 	g.Expect(err).NotTo(gomega.HaveOccurred(), "the ordinary request was not answered")
+	g.Expect(p.peakKB).To(gomega.BeNumerically(">", 0), "resident memory was not read")
+	g.Expect(p.fds).To(gomega.BeNumerically(">", 0), "descriptors were not read")
 	g.Expect(p.peakKB).To(gomega.BeNumerically("<", memoryMB<<10), "resident memory in kB")
 	g.Expect(p.fds).To(gomega.BeNumerically("<", maxFDs), "open descriptors")
 }
