startsignals: SIGHUP only; specs that do not wait for a fixed time

Cause: SIGTERM and SIGINT no longer ended a process that was starting, and several SIGHUPs could fill the channel before them. The spec of the reload could pass without a reload, and the one of the start could block if the process ended first.

Change: only SIGHUP is received from the initialisation on, on a channel of its own, and passed on when the host runs.

--- a/cmd/mulberryrelay/main.go
+++ b/cmd/mulberryrelay/main.go
@@ -47,6 +47,6 @@
 		return err
 	}
 	return platform.Run(platform.Options{
-		LogLevel: level, RoleOrders: s.RoleOrders == "on", Ingress: &s.Settings, Signals: startsignals.Received,
+		LogLevel: level, RoleOrders: s.RoleOrders == "on", Ingress: &s.Settings, StartReload: startsignals.Reload,
 	})
 }
--- a/cmd/mulberryrelay/main_test.go
+++ b/cmd/mulberryrelay/main_test.go
@@ -39,8 +39,12 @@
 	go func() { exited <- cmd.Wait() }()
 	t.Cleanup(func() { _ = cmd.Process.Kill() })
 
-	w, err := os.OpenFile(fifo, os.O_WRONLY, 0) // returns when the process reads its settings
-	g.Expect(err).NotTo(gomega.HaveOccurred())
+	// Opening fails until the process reads its settings.
+	var w *os.File
+	g.Eventually(func() error {
+		w, err = os.OpenFile(fifo, os.O_WRONLY|syscall.O_NONBLOCK, 0)
+		return err
+	}, 20*time.Second, time.Millisecond).Should(gomega.Succeed())
 	g.Expect(cmd.Process.Signal(syscall.SIGHUP)).To(gomega.Succeed())
 	// The reload must not read the pipe.
 	g.Expect(os.Rename(h.SettingsPath, fifo)).To(gomega.Succeed())
--- a/internal/startsignals/signals.go
+++ b/internal/startsignals/signals.go
@@ -1,5 +1,4 @@
-// Package startsignals receives the signals to a daemon from the initialisation of the program
-// on, so that a signal to reload settings does not terminate a process that is starting. Only
+// Package startsignals receives SIGHUP from the initialisation of a daemon on, so that a signal to reload settings does not terminate a process that is starting. Only
 // main packages may import it, since it changes what signals do to the process.
 //
 // It imports nothing but the standard library: Go initialises packages whose imports are
@@ -13,12 +12,12 @@
 	"syscall"
 )
 
-// Received gets SIGTERM, SIGINT and SIGHUP. Its buffer holds one of each and a second one of
-// an impatient sender.
-var Received = receive()
+// Reload gets a SIGHUP. One is enough: a reload reads all settings. Other signals keep their
+// default action, so that they end a process that is starting.
+var Reload = receive()
 
 func receive() <-chan os.Signal {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
 	return signals
 }
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -114,11 +114,17 @@
 }
 
 // Run serves until the platform signals the process to stop and every request has been
-// answered, or the grace period is over.
-func (h *Host) Run() error {
+// answered, or the grace period is over. startReload, which may be nil, holds a SIGHUP that has
+// arrived before.
+func (h *Host) Run(startReload <-chan os.Signal) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
+	select {
+	case s := <-startReload:
+		signals <- s
+	default:
+	}
 	return h.RunUntil(signals)
 }
 
