--- a/pkg/ingress/ingress_test.go
+++ b/pkg/ingress/ingress_test.go
@@ -169,10 +169,10 @@
 		return n
 	}
 	g.Eventually(runs, testTimeout).Should(gomega.Equal(4))
-	for range 40 {
+	for i := range 40 {
 		_, r := connect(t, addr, get)
 		got, _ := status(r)
-		g.Expect(got).To(gomega.Equal(200))
+		g.Expect(got).To(gomega.Equal(200), "connection %d, %d open", i, guard.listeners[0].size())
 	}
 	// The last response may be read before its request has ended.
 	g.Eventually(runs, testTimeout).Should(gomega.Equal(4))
