--- a/pkg/relayhost/sharing.go
+++ b/pkg/relayhost/sharing.go
@@ -29,6 +29,8 @@
 	// maxPageBytes limits an answer: a page of entries, or the configuration, which the
 	// platform limits to 1 MiB.
 	maxPageBytes = 4 << 20
+	// maxReadRequest limits a call of another host, which holds two short keys at most.
+	maxReadRequest = 4 << 10
 )
 
 type listRequest struct {
