--- a/pkg/backends/refusals.go
+++ b/pkg/backends/refusals.go
@@ -36,7 +36,7 @@
 
 // Refused records that an engine with this capacity refused a request of this host whose need
 // is part of the known load, and returns what that says of the engine. It returns false for a
-// refusal that the known loads explain, which is no news.
+// refusal that the known loads explain, which says nothing new.
 func (d *Directory) Refused(now time.Time, id ident.BackendID, capacity, need int64) (Refusal, bool) {
 	s := d.servers[id]
 	if s == nil {
@@ -59,7 +59,7 @@
 }
 
 // applyRefusal applies a refusal by an engine at which this much memory is known to be in use.
-func (d *Directory) applyRefusal(now time.Time, s *server, r Refusal, known int64) (news bool) {
+func (d *Directory) applyRefusal(now time.Time, s *server, r Refusal, known int64) (isNew bool) {
 	memory := r.Used - known
 	if memory <= s.hiddenMemory(r.At, d.reportAge) {
 		return false
@@ -77,16 +77,16 @@
 		return 0
 	}
 	unexplained := s.hidden.memory - max(0, s.totalLoad().Memory-s.hidden.known)
-	return max(0, int64(float64(unexplained)*min(1, hiddenHold*float64(left)/float64(age))))
+	return max(0, int64(float64(unexplained)*min(1, hiddenDecayFactor*float64(left)/float64(age))))
 }
 
 // freedFor is how long memory that was freed is expected to be free still. Later, hosts that
 // have heard of it in a load report may have taken it.
 const freedFor = 200 * time.Millisecond
 
-// hiddenHold is the reciprocal of the part of the age of the reports at whose end hidden load
+// hiddenDecayFactor is the reciprocal of the part of the age of the reports at whose end hidden load
 // decays. A load that decayed at once would let the same request ask again after the refusal.
-const hiddenHold = 2
+const hiddenDecayFactor = 2
 
 // Freed records that an engine has freed memory that no other host knows of.
 func (d *Directory) Freed(now time.Time, id ident.BackendID, memory int64) {
@@ -125,10 +125,10 @@
 	// freedShare is the part of a request's need that must have been freed: engines usually
 	// have some memory left besides.
 	freedShare = 0.9
-	// plentyFactor is how many places there must be for each request that other hosts may have
+	// spareFactor is how many places there must be for each request that other hosts may have
 	// placed unseen. Below it, most engines that seem to have room have none: they are those
 	// whose loads are reported late.
-	plentyFactor = 1.5
+	spareFactor = 1.5
 )
 
 // places returns how many requests like the one of a query the engines have room for.
@@ -145,10 +145,10 @@
 	return float64(n)
 }
 
-// Plenty reports whether the engines have room for more requests like the one of a query than
+// HasSpareCapacity reports whether the engines have room for more requests like the one of a query than
 // other hosts may have placed unseen.
-func (d *Directory) Plenty(now time.Time, q Query) bool {
-	return d.places(now, q) > plentyFactor*q.UnseenRequests
+func (d *Directory) HasSpareCapacity(now time.Time, q Query) bool {
+	return d.places(now, q) > spareFactor*q.UnseenRequests
 }
 
 // Pacer paces the attempts of one queue to reserve memory while all engines seem full. Without
--- a/pkg/relay/refusals.go
+++ b/pkg/relay/refusals.go
@@ -19,8 +19,8 @@
 // request at a time asks an engine that may be full.
 func (r *Relay) pickPaced(q *request, query backends.Query) (backends.Target, bool) {
 	p := &r.queues[q.service.Name].pacer
-	q.unsure = !p.Slow() || r.backends.Plenty(r.now, query)
-	if q.unsure {
+	q.mayBeFull = !p.Slow() || r.backends.HasSpareCapacity(r.now, query)
+	if q.mayBeFull {
 		return r.backends.PickDecode(r.now, query)
 	}
 	query.Freed = true
@@ -35,7 +35,7 @@
 	query.Freed = false
 	to, ok := r.backends.PickDecode(r.now, query)
 	if ok {
-		q.unsure = true
+		q.mayBeFull = true
 		p.Begin(r.now)
 	}
 	return to, ok
@@ -59,7 +59,7 @@
 func (r *Relay) offerFreed() {
 	for _, o := range r.offers {
 		engine := r.engineOf(o.Service)
-		if o.Hops <= 0 || engine == nil || r.backends.Plenty(r.now, backends.Query{
+		if o.Hops <= 0 || engine == nil || r.backends.HasSpareCapacity(r.now, backends.Query{
 			Service: o.Service, Stage: backends.Decode, Need: backends.Load{Memory: o.Memory},
 			MemoryPerServer: engine.MemoryTokens, UnseenRequests: r.unreportedRequests(o.Service),
 		}) {
@@ -98,7 +98,7 @@
 
 // reservationGranted records that an engine had memory for a request.
 func (r *Relay) reservationGranted(q *request) {
-	if qu := r.queues[q.service.Name]; qu != nil && q.unsure {
+	if qu := r.queues[q.service.Name]; qu != nil && q.mayBeFull {
 		qu.pacer.Succeeded()
 	}
 }
@@ -106,11 +106,11 @@
 // reservationRefused counts memory that the known loads do not explain at the engine that
 // refused a request, and tells the other hosts.
 func (r *Relay) reservationRefused(q *request) {
-	if qu := r.queues[q.service.Name]; qu != nil && q.unsure {
+	if qu := r.queues[q.service.Name]; qu != nil && q.mayBeFull {
 		qu.pacer.Refused(r.now)
 	}
-	refusal, news := r.backends.Refused(r.now, q.target.ID, q.service.Engine.MemoryTokens, q.load.Memory)
-	if news {
+	refusal, isNew := r.backends.Refused(r.now, q.target.ID, q.service.Engine.MemoryTokens, q.load.Memory)
+	if isNew {
 		r.putNote(notes.Full, string(refusal.ID), fullNote{StartedAt: refusal.StartedAt, Used: refusal.Used})
 	}
 }
--- a/pkg/relay/request.go
+++ b/pkg/relay/request.go
@@ -67,7 +67,7 @@
 	permits      []serverlimit.Process // for which it has permits that have not been used
 	callsPerSlot float64               // at its plain server when it was sent
 	firstEventAt time.Time             // of the current decode
-	unsure       bool                  // its reservation is at an engine that may be full
+	mayBeFull    bool                  // its reservation is at an engine that may be full
 	permitUsed   bool                  // the last call to a server used a permit
 	ask          uint64                // for a permit, while it waits for the answer
 	askedFor     serverlimit.Process
