review 7: a stream goes on at two replicas

Cause: a stream that may be resumed and has paused is moved to another replica; closing the connection is all that is done to end the first run, and not every replica ends it then. Change: none to the product; the case.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -30,6 +30,7 @@
 // cases are the cases by the number of their folder.
 var cases = map[string]func(*scene) (verdict, error){
 	"6": failedAnswer,
+	"7": movedStream,
 }
 
 // verdict is the result of a case.
