review 6: a stream goes on from the KV cache of another one; the others move down

Cause: whether a KV cache handle is still that of its process is judged from the list, a heartbeat late, and from the end of the connection of the answer, looked at once, before it can have arrived; the age of a handle counts from when its answer is read.

--- a/review/7/run.sh
+++ b/review/8/run.sh
@@ -5,4 +5,4 @@
 [ -x target/mulberryrelay ] && [ -x target/review-standin-2 ] || exit 2
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec target/review-standin-2 -case 7 -record review/7/record.txt -trouble=$trouble
+exec target/review-standin-2 -case 8 -record review/8/record.txt -trouble=$trouble
--- a/review/standin-2/deploy.go
+++ b/review/standin-2/deploy.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -37,7 +39,7 @@
 	fronts []*front
 }
 
-func zoneOf(i int) string { return []string{"teku", "balaju", "thimi"}[i%3] }
+func zoneOf(i int) string { return []string{"teku", "balaju", "thimi", "patan"}[i%4] }
 
 // newDeployment starts a store and prepares n entry hosts.
 func newDeployment(dir string, n int) (*deployment, error) {
@@ -89,10 +91,10 @@
 	var b strings.Builder
 	p := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
 	p("node_name: %q\nrole: entry\nmachine_class: front\nserves: [front, control]\nip: %q\nzone: %q\nregion: bagmati", f.name, f.ip, f.zone)
-	p("zones: {teku: bagmati, balaju: bagmati, thimi: bagmati}")
+	p("zones: {teku: bagmati, balaju: bagmati, thimi: bagmati, patan: bagmati}")
 	p("listen: {front: %q, ready: %q, control: %q}", f.callers, f.ready, f.control)
 	p("internal_port_range: [%d, %d]", f.internal, f.internal+15)
-	p("seeds: [%s]", strings.Join(quoted(f.seeds), ", "))
+	p("seeds: [%s]", strings.Join(quoted(f.seeds[:3]), ", "))
 	p("bootstrap: true\nloss_counts: false\ndata_dir: null\ndiscovery: platform\nentry: vip\nheartbeat_ms: 1200")
 	p("limits: {cpu_share: 0.4, cores: 1, memory_mb: 134, max_fds: 4100, link_mbps: 1000.0, disk_mb: 0}")
 	p("fault_tolerance: {machines: 2, zones: 1, regions: 0}")
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command standin-2 plays the cases of review 2 that are scripts: it starts a small deployment
 // of mulberryrelay with stand-ins of the store, the replicas and the clients, and judges what
 // they have seen.
@@ -29,8 +31,9 @@
 
 // cases are the cases by the number of their folder.
 var cases = map[string]func(*scene) (verdict, error){
-	"6": failedAnswer,
-	"7": movedStream,
+	"6": lateHandle,
+	"8": failedAnswer,
+	"9": movedStream,
 }
 
 // verdict is the result of a case.
@@ -59,7 +62,7 @@
 		return notRun
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	d, err := newDeployment(dir, 3)
+	d, err := newDeployment(dir, 4)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return notRun
--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -21,11 +23,13 @@
 	id, service, stage, zone string
 	ln                       net.Listener
 	answer                   func(r *replica, c net.Conn, q *http.Request)
+	prefill                  func(r *replica, c net.Conn, id string, q *http.Request) // nil: at once
 	born                     int64
 
 	mu     sync.Mutex
 	nextID int
 	runs   []*run
+	conns  map[net.Conn]bool
 }
 
 func newReplica(id, service, stage, zone string, answer func(*replica, net.Conn, *http.Request)) (*replica, error) {
@@ -52,18 +56,35 @@
 		if err != nil {
 			return
 		}
+		r.mu.Lock()
+		if r.conns == nil {
+			r.conns = map[net.Conn]bool{}
+		}
+		r.conns[c] = true
+		r.mu.Unlock()
 		go r.serve(c)
 	}
 }
 
 func (r *replica) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
+	defer func() {
+		_ = c.Close()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.conns, c)
+	}()
 	br := bufio.NewReader(c)
 	for {
+		r.mu.Lock()
+		r.conns[c] = false // waits for a request
+		r.mu.Unlock()
 		q, err := http.ReadRequest(br)
 		if err != nil {
 			return
 		}
+		r.mu.Lock()
+		r.conns[c] = true
+		r.mu.Unlock()
 		if _, err := io.Copy(io.Discard, q.Body); err != nil {
 			return
 		}
@@ -77,6 +98,8 @@
 			r.reply(c, 202, "", "{}")
 		case q.Header.Get("X-Expect-Instance") != r.id:
 			r.reply(c, 421, "X-Instance-Id: "+r.id+"\r\nX-Not-Executed: 1\r\nX-Attempt-Id: "+id+"\r\n", "")
+		case q.Header.Get("X-Stage") == "prefill" && r.prefill != nil:
+			r.prefill(r, c, id, q)
 		case q.Header.Get("X-Stage") == "prefill":
 			r.reply(c, 200, "X-Attempt-Id: "+id+"\r\n", fmt.Sprintf(`{"handle":"%s","tokens":%s,"version":1}`, r.newID("kv"), promptOf(q)))
 		default:
@@ -136,3 +159,29 @@
 func signed(id string) string {
 	return "X-Attempt-Id: " + id + "\r\nX-Response-Signature: sig." + id + "\r\n"
 }
+
+// down ends the process: its listener and idle connections are closed. Another one listens at
+// the address after d.
+func (r *replica) down(d time.Duration) {
+	addr := r.ln.Addr().String()
+	_ = r.ln.Close()
+	r.mu.Lock()
+	for c, busy := range r.conns {
+		if !busy {
+			_ = c.Close()
+		}
+	}
+	r.mu.Unlock()
+	time.Sleep(d)
+	for range 100 {
+		if ln, err := net.Listen("tcp", addr); err == nil {
+			r.ln = ln
+			go r.accept()
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// restarted sets the start of the process that listens now.
+func (r *replica) restarted() { r.born = time.Now().UnixMilli() }
