--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -26,7 +26,7 @@
 	if *name == "replica" {
 		return serveReplica(*addr, *id)
 	}
-	play, known := map[string]func(*world, bool) error{"ended": ended, "refused": refused, "backlog": backlog, "ghost": ghost}[*name]
+	play, known := map[string]func(*world, bool) error{"ended": ended, "refused": refused, "backlog": backlog, "ghost": ghost, "memory": memory}[*name]
 	if !known {
 		fmt.Fprintln(os.Stderr, "unknown case:", *name)
 		return 2
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -22,6 +22,10 @@
 	storeAddr string
 	hosts     []*platformtest.Host
 	procs     []*exec.Cmd
+	// procOf holds the present process of each entry host.
+	procOf map[string]*exec.Cmd
+	// memoryMB is the memory limit of the entry hosts; 0 is that of the fake deployment.
+	memoryMB int
 
 	mu     sync.Mutex
 	record *os.File
@@ -29,7 +33,7 @@
 }
 
 func newWorld(relay, record string) (*world, error) {
-	w := &world{relay: relay, began: time.Now()}
+	w := &world{relay: relay, began: time.Now(), procOf: map[string]*exec.Cmd{}}
 	var err error
 	if w.dir, err = os.MkdirTemp("", "review"); err != nil {
 		return nil, err
@@ -66,20 +70,14 @@
 	}
 	for _, h := range w.hosts {
 		h.Seeds = seeds
+		h.MemoryMB = cmp.Or(w.memoryMB, h.MemoryMB)
 		h.UsePorts(w.hosts[0].FirstPort)
 		if err := h.WriteSettings(); err != nil {
 			return err
 		}
 	}
 	for _, h := range w.hosts {
-		log, err := os.Create(filepath.Join(w.dir, h.Name+".log"))
-		if err != nil {
-			return err
-		}
-		cmd := exec.Command(w.relay)
-		cmd.Env = []string{"MULBERRYSTREAM_NODE_FILE=" + h.SettingsPath, "PATH=" + os.Getenv("PATH")}
-		cmd.Stdout, cmd.Stderr = log, log
-		if err := w.start(cmd); err != nil {
+		if _, err := w.startHost(h); err != nil {
 			return err
 		}
 	}
@@ -99,16 +97,37 @@
 	return nil
 }
 
+// startHost starts the process of an entry host.
+func (w *world) startHost(h *platformtest.Host) (*exec.Cmd, error) {
+	log, err := os.OpenFile(filepath.Join(w.dir, h.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = log.Close() }()
+	cmd := exec.Command(w.relay)
+	cmd.Env = []string{"MULBERRYSTREAM_NODE_FILE=" + h.SettingsPath, "PATH=" + os.Getenv("PATH")}
+	cmd.Stdout, cmd.Stderr = log, log
+	w.mu.Lock()
+	w.procOf[h.Name] = cmd
+	w.mu.Unlock()
+	return cmd, w.start(cmd)
+}
+
 func (w *world) start(cmd *exec.Cmd) error {
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.procs = append(w.procs, cmd)
 	return nil
 }
 
 func (w *world) close() {
-	for _, p := range w.procs {
+	w.mu.Lock()
+	procs := w.procs
+	w.mu.Unlock()
+	for _, p := range procs {
 		_ = p.Process.Kill()
 		_ = p.Wait()
 	}
