--- a/review/standin-3/backlog.go
+++ b/review/standin-3/backlog.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -85,10 +87,11 @@
 	_ = c.Close()
 }
 
-const extraRoutes = 1768
+// manyRoutes is how many routes one big_config adds.
+const manyRoutes = 1768
 
 // grownConfig is a configuration with many routes, in which the open route leads to service.
-func grownConfig(version int, service string) map[string]any {
+func grownConfig(version int, service string, extraRoutes int) map[string]any {
 	c := platformtest.Config(version, platformtest.Key)
 	routes := c["routes"].([]any)
 	for _, r := range routes {
@@ -120,7 +123,7 @@
 // asks for an open route that the last of them has moved.
 func backlog(w *world, trouble bool) error {
 	w.store.KeepHistory(history)
-	data, err := json.Marshal(grownConfig(1, "app"))
+	data, err := json.Marshal(grownConfig(1, "app", manyRoutes))
 	if err != nil {
 		return err
 	}
@@ -165,7 +168,7 @@
 		if i == versions-1 {
 			service = "app2"
 		}
-		data, err := json.Marshal(grownConfig(version, service))
+		data, err := json.Marshal(grownConfig(version, service, manyRoutes))
 		if err != nil {
 			return err
 		}
