follow, relayhost: bound the bytes of the changes kept for other hosts

Cause: Mirror kept the last 512 changes for hosts that read through it, whatever their size, and whether anybody read or not.

Change: the kept changes have a bound in bytes that follows from the memory limit and the longest value of the store. A replaced value that takes more than its share of the bound is dropped at once; whoever reads from before it gets the later one, and if the log no longer covers a revision, the present list. Lists are paged by bytes as well. Answers to other hosts, which have a copy of their items each, share an eighth of the memory limit; a reader beyond it is refused at once and reads the store.

Gauges and a counter show what is kept and refused.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -30,6 +30,9 @@
 	Created uint64 `cbor:"-"`
 }
 
+// bytes returns the bytes of the key and the value.
+func (it Item) bytes() int { return len(it.Key) + len(it.Value) }
+
 // Position is a point in the history of the store. A store that is restored from an older
 // copy starts a new era and assigns revisions again, so revisions are compared only within
 // one era.
@@ -58,6 +61,15 @@
 	Held time.Duration
 }
 
+// Bytes returns the bytes of the keys and values of a page.
+func (p Page) Bytes() int64 {
+	n := 0
+	for _, it := range p.Items {
+		n += it.bytes()
+	}
+	return int64(n)
+}
+
 // Source reads the store or a mirror of it.
 type Source interface {
 	// List returns a page of the keys under a prefix that sort after the key after; an
--- a/pkg/follow/history.go
+++ b/pkg/follow/history.go
@@ -106,9 +106,7 @@
 	case p.Era != r.era:
 		return h, false, ErrRestored
 	}
-	for _, it := range p.Items {
-		r.left.Bytes -= len(it.Key) + len(it.Value)
-	}
+	r.left.Bytes -= int(p.Bytes())
 	if r.left.Bytes < 0 {
 		return h, false, ErrHistoryBounds
 	}
--- a/pkg/follow/mirror.go
+++ b/pkg/follow/mirror.go
@@ -18,10 +18,9 @@
 
 	mu           sync.Mutex
 	items        map[string]Item
-	history      []Item
+	log          changeLog
 	era          uint64        // of the copy; all revisions here are of it
 	revision     uint64        // revision of the copy
-	historyStart uint64        // history holds all changes after this revision
 	announced    Position      // position of the last notification of changed
 	asOf         time.Time     // the copy is at least as recent as this
 	failingSince time.Time     // first failed read since the last successful one; zero if there is none
@@ -33,16 +32,18 @@
 // it can be trusted, and if all hosts turned to the store then, they would overload it.
 const failureTolerance = time.Second
 
-// maxHistory is the number of changes kept for hosts that reconnect. The changes of a
-// few seconds suffice; a host that was away for longer lists again.
-const maxHistory = 512
-
 // pageSize is the number of items in one page of a list.
 const pageSize = 200
 
-// NewMirror returns an empty mirror in front of next.
-func NewMirror(next Sink, now func() time.Time) *Mirror {
-	return &Mirror{next: next, now: now, items: map[string]Item{}, changed: make(chan struct{})}
+// NewMirror returns an empty mirror in front of next. pageBytes bounds the keys and values of
+// one page, and those of the changes that the mirror keeps. A list has at least one item in
+// each page, whatever its size. A change that is longer is not kept, so that hosts that read
+// through the mirror have to list it.
+func NewMirror(next Sink, pageBytes int, now func() time.Time) *Mirror {
+	return &Mirror{
+		next: next, now: now,
+		items: map[string]Item{}, log: changeLog{maxBytes: pageBytes}, changed: make(chan struct{}),
+	}
 }
 
 // Replace replaces the copy by a new list. Hosts that follow the mirror have to list again
@@ -54,8 +55,8 @@
 	for _, it := range items {
 		m.items[it.Key] = it
 	}
-	m.history = nil
-	m.era, m.revision, m.historyStart = at.Era, at.Revision, at.Revision
+	m.log.reset(at.Revision)
+	m.era, m.revision = at.Era, at.Revision
 	m.mu.Unlock()
 	m.next.Replace(items, at)
 }
@@ -70,11 +71,7 @@
 			m.items[it.Key] = it
 		}
 	}
-	m.history = append(m.history, items...)
-	if extra := len(m.history) - maxHistory; extra > 0 {
-		m.historyStart = m.history[extra-1].Revision
-		m.history = slices.Delete(m.history, 0, extra)
-	}
+	m.log.add(items, func(it Item) bool { return m.items[it.Key].Revision != it.Revision })
 	m.mu.Unlock()
 	m.next.Change(items)
 }
@@ -119,6 +116,14 @@
 // age returns the largest possible age of the copy. The caller must hold the lock.
 func (m *Mirror) age() time.Duration { return m.now().Sub(m.asOf) }
 
+// Kept returns the number of changes that the mirror keeps for other hosts, and the bytes of
+// their keys and values.
+func (m *Mirror) Kept() (changes, bytes int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.log.items), m.log.bytes
+}
+
 // Copy returns the items of the copy and its position; ok is false if there is none yet.
 func (m *Mirror) Copy() (items []Item, at Position, ok bool) {
 	m.mu.Lock()
@@ -140,12 +145,24 @@
 		}
 	}
 	slices.SortFunc(p.Items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
-	if len(p.Items) > pageSize {
-		p.Items, p.More = p.Items[:pageSize], true
+	if n := m.pageItems(p.Items); n < len(p.Items) {
+		p.Items, p.More = p.Items[:n], true
 	}
 	return p, nil
 }
 
+// pageItems returns how many of the items fit into a page.
+func (m *Mirror) pageItems(items []Item) int {
+	n, bytes := 0, 0
+	for n < min(len(items), pageSize) {
+		if bytes += items[n].bytes(); n > 0 && bytes > m.log.maxBytes {
+			break
+		}
+		n++
+	}
+	return n
+}
+
 // Wait returns the changes after a position as soon as there are any, or none once wait
 // has passed.
 func (m *Mirror) Wait(ctx context.Context, prefix string, after Position, wait time.Duration) (Page, error) {
@@ -179,14 +196,14 @@
 	switch {
 	case !m.ready() || after.Era > m.era:
 		return Page{}, nil, ErrNotReady
-	case after.Era < m.era || after.Revision < m.historyStart:
+	case after.Era < m.era:
 		return Page{}, nil, ErrCompacted
 	}
-	p := Page{At: max(m.revision, after.Revision), Era: m.era, Mirrored: true, Age: m.age()}
-	for _, it := range m.history {
-		if it.Revision > after.Revision && strings.HasPrefix(it.Key, prefix) {
-			p.Items = append(p.Items, it)
-		}
+	items, ok := m.log.after(after.Revision)
+	if !ok {
+		return Page{}, nil, ErrCompacted
 	}
+	p := Page{At: max(m.revision, after.Revision), Era: m.era, Mirrored: true, Age: m.age()}
+	p.Items = slices.DeleteFunc(items, func(it Item) bool { return !strings.HasPrefix(it.Key, prefix) })
 	return p, m.changed, nil
 }
--- a/pkg/follow/mirror_test.go
+++ b/pkg/follow/mirror_test.go
@@ -13,6 +13,9 @@
 	"github.com/mulberrystream/mulberrystream/pkg/follow"
 )
 
+// pageBytes is the bound of the mirrors of these tests.
+const pageBytes = 1 << 20
+
 var _ = Describe("a mirror", func() {
 	var (
 		m    *follow.Mirror
@@ -27,7 +30,7 @@
 
 	BeforeEach(func() {
 		now, sink = time.Unix(1000, 0), &recordingSink{}
-		m = follow.NewMirror(sink, func() time.Time { return now })
+		m = follow.NewMirror(sink, pageBytes, func() time.Time { return now })
 	})
 
 	It("is not ready before it has a copy", func() {
@@ -171,14 +174,14 @@
 		for seed := range uint64(300) {
 			rnd := rand.New(rand.NewPCG(seed, 6))
 			now = time.Unix(1000, 0)
-			m = follow.NewMirror(&recordingSink{}, func() time.Time { return now })
+			m = follow.NewMirror(&recordingSink{}, pageBytes, func() time.Time { return now })
 			m.Replace(nil, follow.Position{Revision: 3})
 			asOf := now.Add(-time.Duration(rnd.IntN(1000)) * time.Millisecond)
 			m.Contact(asOf, follow.Position{Revision: 3})
 			now = now.Add(time.Duration(rnd.IntN(3000)) * time.Millisecond)
 			sent := now
 			// The clock advances with each use, as if the mirror's host were paused in between.
-			m = follow.NewMirror(&recordingSink{}, func() time.Time {
+			m = follow.NewMirror(&recordingSink{}, pageBytes, func() time.Time {
 				now = now.Add(time.Duration(rnd.IntN(50)) * time.Millisecond)
 				return now
 			})
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -37,6 +37,8 @@
 	// Retention is how long the store keeps its changes for reads from an earlier revision.
 	// If it is 0, such reads prove something only if they reach back to the store's creation.
 	Retention time.Duration
+	// ValueBytes is the longest value that the store accepts; 0 if it is unknown.
+	ValueBytes int64
 
 	CallerAddr  string // IP:port for callers
 	ReadyAddr   string // IP:port for the load balancer's readiness check
@@ -106,7 +108,8 @@
 		return nil, err
 	}
 	h.peers = peers
-	h.mirror = follow.NewMirror(&storeSink{host: h}, boottime.Now)
+	h.mirror = follow.NewMirror(&storeSink{host: h}, mirrorBytes(cfg.MemoryBytes, cfg.ValueBytes), boottime.Now)
+	h.metrics.gaugeMirror(h.mirror)
 	h.core = newCore(relay.New(cfg.Relay, boottime.Now()), h.log, h.metrics, h.executeHostEffect)
 	source := newSharedSource(h.core, cfg.Source, h.log)
 	h.follower = follow.New(cfg.Follow, source, h.mirror, cfg.Prefix, boottime.Now)
@@ -184,10 +187,11 @@
 		role    ingress.Role
 		handler http.Handler
 	}
+	mirror := newMirrorServer(h.mirror, h.cfg.MemoryBytes, h.metrics, h.log)
 	list := []service{
 		{h.cfg.CallerAddr, ingress.Callers, ingress.Handler(h)},
 		{h.cfg.ReadyAddr, ingress.Readiness, ingress.WithoutBody(ready)},
-		{h.cfg.PeerAddr, ingress.Peers, h.guard.WithBody(maxReadRequest, mirrorHandler(h.mirror))},
+		{h.cfg.PeerAddr, ingress.Peers, h.guard.WithBody(maxReadRequest, mirror.handler())},
 	}
 	if h.cfg.MetricsAddr != "" {
 		mux := http.NewServeMux()
--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
+	"github.com/mulberrystream/mulberrystream/pkg/follow"
 	"github.com/mulberrystream/mulberrystream/pkg/relay"
 	"github.com/mulberrystream/mulberrystream/pkg/sendonce"
 )
@@ -21,6 +22,7 @@
 	historyReads   *metrics.Counter
 	historyCalls   *metrics.Counter // to the store
 	storeFailures  *metrics.Counter
+	refusedReaders *metrics.Counter // answers to other hosts for which there was no memory
 	badNotices     *metrics.Counter // of backend servers that could not be read
 	invalidEntries *metrics.Counter // of backend servers
 	firstEvent     *metrics.Histogram
@@ -35,6 +37,7 @@
 		historyReads:   set.NewCounter("mulberrystream_history_reads_total"),
 		historyCalls:   set.NewCounter("mulberrystream_history_calls_total"),
 		storeFailures:  set.NewCounter("mulberrystream_store_failures_total"),
+		refusedReaders: set.NewCounter("mulberrystream_refused_readers_total"),
 		badNotices:     set.NewCounter("mulberrystream_unreadable_notices_total"),
 		invalidEntries: set.NewCounter("mulberrystream_invalid_entries_total"),
 		firstEvent:     set.NewHistogram("mulberrystream_first_event_seconds"),
@@ -42,6 +45,18 @@
 	}
 }
 
+// gaugeMirror reports what a mirror keeps for other hosts.
+func (m *hostMetrics) gaugeMirror(mirror *follow.Mirror) {
+	m.set.NewGauge("mulberrystream_kept_changes", func() float64 {
+		changes, _ := mirror.Kept()
+		return float64(changes)
+	})
+	m.set.NewGauge("mulberrystream_kept_changes_bytes", func() float64 {
+		_, bytes := mirror.Kept()
+		return float64(bytes)
+	})
+}
+
 func (m *hostMetrics) countAnswer(status int) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`mulberrystream_answers_total{status="%d"}`, status)).Inc()
 }
--- a/pkg/relayhost/sharing.go
+++ b/pkg/relayhost/sharing.go
@@ -29,8 +29,6 @@
 	// maxPageBytes limits an answer: a page of entries, or the configuration, which the
 	// platform limits to 1 MiB.
 	maxPageBytes = 4 << 20
-	// maxReadRequest limits a call of another host, which holds two short keys at most.
-	maxReadRequest = 4 << 10
 )
 
 type listRequest struct {
@@ -45,31 +43,6 @@
 	Era    uint64 `cbor:"4,keyasint,omitempty"` // of After
 }
 
-// mirrorHandler serves this host's copy of the store to other hosts.
-func mirrorHandler(m *follow.Mirror) http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle(listProcedure, connect.NewUnaryHandler(listProcedure,
-		func(ctx context.Context, req *connect.Request[listRequest]) (*connect.Response[follow.Page], error) {
-			return pageResponse(m.List(ctx, req.Msg.Prefix, req.Msg.After))
-		}, connect.WithCodec(cborcodec.Codec{})))
-	mux.Handle(waitProcedure, connect.NewUnaryHandler(waitProcedure,
-		func(ctx context.Context, req *connect.Request[waitRequest]) (*connect.Response[follow.Page], error) {
-			wait := time.Duration(req.Msg.WaitMS) * time.Millisecond
-			return pageResponse(m.Wait(ctx, req.Msg.Prefix, follow.Position{Era: req.Msg.Era, Revision: req.Msg.After}, wait))
-		}, connect.WithCodec(cborcodec.Codec{})))
-	return mux
-}
-
-func pageResponse(p follow.Page, err error) (*connect.Response[follow.Page], error) {
-	switch {
-	case errors.Is(err, follow.ErrCompacted):
-		return nil, connect.NewError(connect.CodeOutOfRange, err)
-	case err != nil:
-		return nil, connect.NewError(connect.CodeUnavailable, err)
-	}
-	return connect.NewResponse(&p), nil
-}
-
 // sharedSource reads the platform's store through the reader of the failure domain that
 // the relay selects, and directly if there is none or it fails.
 type sharedSource struct {
