relay: statuses that promise "not run" leave the host only if that is known

What was seen: a server ran a booking, failed to answer it, and its HTTP layer answered 503 without X-Not-Executed.

Cause: the reducer knew that the request had or may have run and used that for retries only; plainCallEnded and decodeEnded passed the status on unchanged.

Change: answers of servers are passed on at one place, which replaces 408, 421, 429 and 503 by 502. Since 502 promises nothing, it is true whatever the server did, and it carries no signature of the server. Statements are read at one place too: prefill calls and orders no longer take 503 and 429 for one; a reservation does, as documented.

--- a/pkg/relay/effect.go
+++ b/pkg/relay/effect.go
@@ -28,6 +28,9 @@
 	NoPermit    Reason = "server_limits"
 	NoTime      Reason = "no_server_in_time"
 	NoRegion    Reason = "no_allowed_region" // with a server of the service
+	// UnprovenRefusal replaces a refusal by a server that does not state that the request has
+	// not run.
+	UnprovenRefusal Reason = "refusal_without_statement"
 	// OriginUnknown and VersionGone refuse streams that cannot be resumed.
 	OriginUnknown Reason = "origin_unknown"
 	VersionGone   Reason = "version_gone"
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -88,9 +88,7 @@
 		return
 	}
 	if e.Outcome == Succeeded || e.Outcome == Failure {
-		r.logRequest(q, "answer", e.Outcome.String())
-		r.emit(Deliver{ID: q.id})
-		r.finish(q)
+		r.deliver(q, e)
 		return
 	}
 	r.failAfterCall(q, e.Outcome)
--- a/pkg/relay/staged.go
+++ b/pkg/relay/staged.go
@@ -397,9 +397,7 @@
 		return
 	}
 	if e.Outcome == Failure && !e.Started {
-		r.logRequest(q, "answer", "failure of the backend server")
-		r.emit(Deliver{ID: q.id})
-		r.finish(q)
+		r.deliver(q, e)
 		return
 	}
 	r.logStreamEnd(q, e, "decode", e.Outcome.String())
--- a/pkg/relayhost/calls.go
+++ b/pkg/relayhost/calls.go
@@ -174,7 +174,8 @@
 	req := fasthttp.AcquireRequest()
 	x.host.dialect.Reserve(req, e.To.ID, e.Tokens, e.TTL)
 	req.Header.SetHost(e.To.Addr)
-	hold, o := x.controlCall(e.Attempt, req, "", nil, x.host.dialect.ParseReservation)
+	d := x.host.dialect
+	hold, o := x.controlCall(e.Attempt, controlCall{req: req, classify: d.ClassifyReservation, parse: d.ParseReservation})
 	x.host.metrics.countReservation(o)
 	return relay.Reserved{ID: e.ID, Attempt: e.Attempt.Attempt, Outcome: o, Hold: hold}
 }
@@ -184,9 +185,12 @@
 	req := x.newRequest(Forward{To: e.To.ID, TimeLeft: timeLeft(e.Deadline), Organisation: e.Organisation, Prefill: true})
 	var tokens int64
 	x.prefillLink = &sendonce.Link{}
-	handle, o := x.controlCall(e.Attempt, req, x.spec.RequestID, x.prefillLink, func(body []byte) (handle string, err error) {
-		handle, tokens, err = x.host.dialect.ParsePrefill(body)
-		return handle, err
+	handle, o := x.controlCall(e.Attempt, controlCall{
+		req: req, requestID: x.spec.RequestID, link: x.prefillLink, classify: x.host.dialect.ClassifyCall,
+		parse: func(body []byte) (handle string, err error) {
+			handle, tokens, err = x.host.dialect.ParsePrefill(body)
+			return handle, err
+		},
 	})
 	return relay.Prefilled{
 		ID: e.ID, Attempt: e.Attempt.Attempt, Outcome: o, Handle: handle, Tokens: tokens,
@@ -194,20 +198,29 @@
 	}
 }
 
-// controlCall makes a reserve or prefill call and returns the reservation or KV cache
-// handle that parse finds in its answer. requestID is the ID that req carries, if any, and
-// link gets the connection unless it is nil. It releases req.
-func (x *exchange) controlCall(a relay.Attempt, req *fasthttp.Request, requestID string, link *sendonce.Link, parse func([]byte) (string, error)) (string, relay.Outcome) {
+// controlCall is a reserve or prefill call.
+type controlCall struct {
+	req       *fasthttp.Request
+	requestID string         // that req carries; empty if none
+	link      *sendonce.Link // gets the connection; may be nil
+	classify  func(Answer) relay.Outcome
+	// parse reads the reservation or KV cache handle from the body of the answer.
+	parse func([]byte) (string, error)
+}
+
+// controlCall makes a call and returns what its parse finds in the answer. It releases the
+// request of the call.
+func (x *exchange) controlCall(a relay.Attempt, c controlCall) (string, relay.Outcome) {
 	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseRequest(c.req)
 	defer fasthttp.ReleaseResponse(resp)
 	ctx, cancel := x.withDeadline(a.Deadline)
 	defer cancel()
 	begin := boottime.Now()
-	if link != nil {
-		ctx = sendonce.WithLink(ctx, link)
+	if c.link != nil {
+		ctx = sendonce.WithLink(ctx, c.link)
 	}
-	if err := x.host.clients.forAddr(a.To.Addr).Do(x.host.withTargetCheck(ctx, a.To), req, resp); err != nil {
+	if err := x.host.clients.forAddr(a.To.Addr).Do(x.host.withTargetCheck(ctx, a.To), c.req, resp); err != nil {
 		o := x.errorOutcome(err, a.To)
 		if o == relay.Aborted {
 			// No answer within the call's own time limit counts as a lost answer.
@@ -215,11 +228,11 @@
 		}
 		return "", o
 	}
-	x.host.recordNotice(answerOf(resp), begin, requestID, x.spec.RequestID, a.To)
-	if o := x.host.dialect.ClassifyCall(answerOf(resp)); o != relay.Succeeded {
+	x.host.recordNotice(answerOf(resp), begin, c.requestID, x.spec.RequestID, a.To)
+	if o := c.classify(answerOf(resp)); o != relay.Succeeded {
 		return "", o
 	}
-	id, err := parse(resp.Body())
+	id, err := c.parse(resp.Body())
 	if err != nil {
 		x.host.logCallError(err, x.spec.RequestID, a.To)
 		return "", relay.Failure
--- a/pkg/relayhost/dialect.go
+++ b/pkg/relayhost/dialect.go
@@ -47,6 +47,8 @@
 	Classify(a Answer) relay.Outcome
 	// ClassifyCall returns the outcome of the answer to one of the router's own calls.
 	ClassifyCall(a Answer) relay.Outcome
+	// ClassifyReservation returns the outcome of the answer to Reserve.
+	ClassifyReservation(a Answer) relay.Outcome
 
 	// Notice returns what a backend server says of itself in an answer to a request or call.
 	// requestID is the ID that it carried; empty if none. It fails if a value cannot be read,
