sendonce: accept only responses by the grammar

What was seen: a server's answer with status 000 reached its caller as 200, signed; so did answers with a blank in the name of a field or before its colon, also where that hid a second framing of the body.

Cause: fasthttp accepts more than the grammar of RFC 9112 (and reports status 0 as 200), and nothing checked what it had read.

Change: the head of each response is checked before the library parses it, and bodies are read by a reader that is as strict with lengths, chunks and trailers. What is no response closes the connection and is a failure of unknown outcome, logged with its cause and counted as "malformed". This is the only reader for answers of servers, engines and the store; hosts that read the store through another one use it now instead of net/http. Trailer fields are no longer merged into the head.

The specs on uploads that are reset while they are written pass before and after: a failed write ends the call, so a part was never taken for all.

--- a/pkg/relayhost/calls.go
+++ b/pkg/relayhost/calls.go
@@ -1,7 +1,6 @@
 package relayhost
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -85,7 +84,7 @@
 	x.buffered = &bufferedAnswer{
 		status: resp.StatusCode(),
 		header: endToEnd(resp.Header.All()),
-		body:   bytes.Clone(resp.Body()),
+		body:   resp.Body(),
 	}
 }
 
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -174,8 +174,6 @@
 	// idleTimeout closes idle connections of callers. It is longer than the operators'
 	// limits, so that a connection that a caller may still reuse is not closed.
 	idleTimeout = 90 * time.Second
-	// maxHeaderBytes limits the head of a response of another host.
-	maxHeaderBytes = 64 << 10
 )
 
 // serve opens the listeners and serves them.
--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -8,8 +8,6 @@
 	"net"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/valyala/fasthttp"
-
 	"github.com/mulberrystream/mulberrystream/pkg/follow"
 	"github.com/mulberrystream/mulberrystream/pkg/relay"
 	"github.com/mulberrystream/mulberrystream/pkg/sendonce"
@@ -77,9 +75,10 @@
 	var netErr net.Error
 	var failed *sendonce.Error
 	switch {
-	case errors.Is(err, sendonce.ErrTooLong), errors.Is(err, sendonce.ErrOverBudget),
-		errors.Is(err, fasthttp.ErrBodyTooLarge), errors.As(err, new(*fasthttp.ErrSmallBuffer)):
+	case errors.Is(err, sendonce.ErrTooLong), errors.Is(err, sendonce.ErrOverBudget):
 		return "too long"
+	case errors.Is(err, sendonce.ErrMalformed), errors.Is(err, sendonce.ErrUnrelated):
+		return "malformed"
 	case errors.Is(err, errDeadline), errors.Is(err, context.DeadlineExceeded):
 		return "deadline"
 	case errors.Is(err, context.Canceled):
--- a/pkg/relayhost/sharing.go
+++ b/pkg/relayhost/sharing.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"sync"
 	"time"
 
@@ -48,7 +47,7 @@
 type sharedSource struct {
 	core   *core
 	direct follow.Source
-	http   *http.Client
+	http   *peerHTTP
 	log    *zap.Logger
 
 	mu      sync.Mutex
@@ -62,10 +61,9 @@
 }
 
 func newSharedSource(c *core, direct follow.Source, log *zap.Logger) *sharedSource {
-	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &sharedSource{
 		core: c, direct: direct, log: log,
-		http:    &http.Client{Transport: transport},
+		http:    newPeerHTTP(),
 		readers: map[string]*readerClient{},
 	}
 }
--- a/pkg/sendonce/client.go
+++ b/pkg/sendonce/client.go
@@ -129,7 +129,8 @@
 	}
 }
 
-// Do sends req at most once and reads the complete response. It is aborted when ctx ends.
+// Do sends req at most once and reads the complete response. It is aborted when ctx ends. The
+// body of resp stays valid when resp is released.
 func (c *Client) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
 	id := c.callID(req)
 	cn, err := c.connect(ctx, c.usableFor(req, id))
@@ -139,7 +140,14 @@
 	stop := context.AfterFunc(ctx, cn.abort)
 	cn.expect(time.Time{}, framingFactor*c.opt.MaxBody+c.opt.BufferSize)
 	cn.account = c.opt.Budget.newAccount()
-	step, err := c.roundTrip(cn, id, req, resp)
+	h, step, err := c.roundTrip(cn, id, req, resp)
+	if err == nil {
+		var body []byte
+		if body, err = readAll(newBody(cn.br, h), h, c.opt.MaxBody); err != nil {
+			step = "receive"
+		}
+		resp.SetBodyRaw(body)
+	}
 	cn.account.close()
 	cn.account = nil
 	if !stop() && err == nil {
@@ -152,15 +160,15 @@
 		c.uncountConn()
 		return c.wrapError(ctx, step, cn, err)
 	}
-	if c.release(cn, c.isLastUse(cn, req, resp)) {
+	if c.release(cn, c.isLastUse(cn, req, resp, h)) {
 		recordLink(ctx, cn)
 	}
 	return nil
 }
 
 // isLastUse reports whether a connection must not be used for another call.
-func (c *Client) isLastUse(cn *conn, req *fasthttp.Request, resp *fasthttp.Response) bool {
-	if req.ConnectionClose() || resp.ConnectionClose() {
+func (c *Client) isLastUse(cn *conn, req *fasthttp.Request, resp *fasthttp.Response, h responseHead) bool {
+	if h.framing == byClose || req.ConnectionClose() || resp.ConnectionClose() {
 		return true
 	}
 	// A second response to HEAD would be read as if it had a body.
@@ -195,9 +203,20 @@
 // writerPool holds write buffers, which are only needed while a request is written.
 var writerPool = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, 4<<10) }}
 
-// roundTrip writes the request, which has the given ID, and reads the response. On an error
-// it also returns the step that failed.
-func (c *Client) roundTrip(cn *conn, id string, req *fasthttp.Request, resp *fasthttp.Response) (string, error) {
+// roundTrip writes the request, which has the given ID, and reads the head of the response. On
+// an error it also returns the step that failed.
+func (c *Client) roundTrip(cn *conn, id string, req *fasthttp.Request, resp *fasthttp.Response) (responseHead, string, error) {
+	if err := c.send(cn, id, req); err != nil {
+		return responseHead{}, "send", err
+	}
+	h, err := c.readResponse(cn, id, req.Header.IsHead(), resp)
+	if err != nil {
+		return h, "receive", err
+	}
+	return h, "", nil
+}
+
+func (c *Client) send(cn *conn, id string, req *fasthttp.Request) error {
 	bw := writerPool.Get().(*bufio.Writer)
 	defer writerPool.Put(bw)
 	bw.Reset(cn)
@@ -206,52 +225,41 @@
 		cn.history.add(id)
 	}
 	if err := req.Write(bw); err != nil {
-		return "send", err
-	}
-	if err := bw.Flush(); err != nil {
-		return "send", err
-	}
-	resp.SkipBody = req.Header.IsHead()
-	if err := c.readResponse(cn, id, resp); err != nil {
-		return "receive", err
+		return err
 	}
-	return "", nil
+	return bw.Flush()
 }
 
-// readResponse reads the response to the last call on a connection, which has the given ID.
-// It skips late second responses to earlier calls.
-func (c *Client) readResponse(cn *conn, id string, resp *fasthttp.Response) error {
+// readResponse reads the head of the response to the last call on a connection, which has the
+// given ID. It skips late second responses to earlier calls.
+func (c *Client) readResponse(cn *conn, id string, withoutBody bool, resp *fasthttp.Response) (responseHead, error) {
 	for {
-		if err := resp.ReadLimitBody(cn.br, c.opt.MaxBody); err != nil {
-			return err
+		h, err := readHead(cn.br, withoutBody)
+		if err != nil {
+			return h, err
+		}
+		before := cn.br.Buffered()
+		if err := resp.Header.Read(cn.br); err != nil {
+			return h, malformed("%v", err)
+		}
+		if n := before - cn.br.Buffered(); n != h.size {
+			return h, malformed("head of %d bytes was read as %d", h.size, n)
 		}
 		if c.opt.EchoHeader == "" {
-			return nil
+			return h, nil
 		}
 		switch cn.history.origin(id, string(resp.Header.Peek(c.opt.EchoHeader))) {
 		case ofCall:
-			return nil
+			return h, nil
 		case ofNone:
-			return ErrUnrelated
+			return h, ErrUnrelated
 		}
-		if err := discardBody(resp); err != nil {
-			return err
+		if _, err := io.Copy(io.Discard, newBody(cn.br, h)); err != nil {
+			return h, err
 		}
 	}
 }
 
-// discardBody reads the rest of a body that is streamed.
-func discardBody(resp *fasthttp.Response) error {
-	body := resp.BodyStream()
-	if body == nil {
-		return nil
-	}
-	if _, err := io.Copy(io.Discard, body); err != nil {
-		return err
-	}
-	return resp.CloseBodyStream()
-}
-
 func (c *Client) wrapError(ctx context.Context, step string, cn *conn, err error) error {
 	if ctx.Err() != nil {
 		err = context.Cause(ctx)
--- a/pkg/sendonce/stream.go
+++ b/pkg/sendonce/stream.go
@@ -20,6 +20,8 @@
 	stop      func() bool
 	req       *fasthttp.Request
 	resp      *fasthttp.Response
+	head      responseHead
+	body      io.Reader
 	complete  bool
 	closeOnce sync.Once
 }
@@ -35,16 +37,15 @@
 		return nil, c.wrapError(ctx, "connect", nil, err)
 	}
 	resp := fasthttp.AcquireResponse()
-	resp.StreamBody = true
 	s := &Stream{client: c, cn: cn, ctx: ctx, req: req, resp: resp}
 	s.stop = context.AfterFunc(ctx, cn.abort)
 	s.Progress(progressTimeout, maxUnread)
-	step, err := c.roundTrip(cn, id, req, resp)
+	h, step, err := c.roundTrip(cn, id, req, resp)
 	if err != nil {
 		s.Close()
 		return nil, c.wrapError(ctx, step, cn, err)
 	}
-	s.Status = resp.StatusCode()
+	s.Status, s.head, s.body = h.status, h, newBody(cn.br, h)
 	return s, nil
 }
 
@@ -82,21 +83,18 @@
 
 // EndsWithConnection reports whether the body has no length and ends when the peer closes
 // the connection, so that a body that was cut off looks like a complete one.
-func (s *Stream) EndsWithConnection() bool { return s.Framing() == framedByClose }
-
-// framedByClose is the framing of a body that ends with the connection.
-const framedByClose = "close"
+func (s *Stream) EndsWithConnection() bool { return s.head.framing == byClose }
 
 // Framing says what delimits the body: "length", "chunks" or "close", the end of the
-// connection.
+// connection. A response without a body has the length 0.
 func (s *Stream) Framing() string {
-	switch n := s.resp.Header.ContentLength(); {
-	case n >= 0:
-		return "length"
-	case n == -1:
+	switch s.head.framing {
+	case byChunks:
 		return "chunks"
+	case byClose:
+		return "close"
 	}
-	return framedByClose
+	return "length"
 }
 
 // Headers returns all response headers.
@@ -104,12 +102,7 @@
 
 // Read reads the body. It returns io.EOF only at the end of a complete body.
 func (s *Stream) Read(p []byte) (int, error) {
-	body := s.resp.BodyStream()
-	if body == nil {
-		s.complete = true
-		return 0, io.EOF
-	}
-	n, err := body.Read(p)
+	n, err := s.body.Read(p)
 	if errors.Is(err, io.EOF) {
 		s.complete = true
 		return n, io.EOF
@@ -135,12 +128,11 @@
 
 func (s *Stream) close() {
 	alive := s.stop()
-	last := s.client.isLastUse(s.cn, s.req, s.resp)
+	last := s.client.isLastUse(s.cn, s.req, s.resp, s.head)
 	if !s.complete || !alive {
 		s.cn.abort()
 		last = true
 	}
-	_ = s.resp.CloseBodyStream()
 	s.client.release(s.cn, last)
 	fasthttp.ReleaseRequest(s.req)
 	fasthttp.ReleaseResponse(s.resp)
