relay, relayhost: take no request that a stop would cut off

What was seen: reported from another system, and possible here. With a grace period of 4 s and bookings that take 1.9 s, those that arrived 1.95 to 2.5 s after the signal ran and were cut off without an answer.

Cause: a stopping host took requests for a fixed time and passed on what it had, whatever their deadlines; the reducer did not know when calls would be aborted.

Change: it knows. A request that may run once is taken and sent on only if its deadline is before that, a stream if twice its expected time is; others are refused at once with 503. At the end of the grace period what no server has got is refused, calls are aborted, and a caller whose request may have run gets 502 instead of a closed connection.

--- a/pkg/relay/config.go
+++ b/pkg/relay/config.go
@@ -60,6 +60,9 @@
 	// DrainAccept is how long a draining host still accepts new requests, to give the
 	// load balancer time to notice.
 	DrainAccept time.Duration
+	// DrainTime is the time from the start of a drain until the driver aborts all calls; 0
+	// means that it does not. Requests that would be aborted are refused instead.
+	DrainTime time.Duration
 	// MinDrainTime is the minimum time between the start of a drain and the exit.
 	MinDrainTime time.Duration
 }
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -9,7 +9,7 @@
 // callPlain sends a request to the plain backend server that is expected to answer
 // first.
 func (r *Relay) callPlain(q *request) {
-	if r.quarantined(q) {
+	if r.quarantined(q) || r.refuseOutlasting(q) {
 		return
 	}
 	to, ok := r.backends.PickPlain(r.now, backends.Query{
@@ -42,7 +42,7 @@
 	switch {
 	case !granted || !r.backends.Accepts(r.now, to):
 		r.callPlain(q)
-	case !r.quarantined(q):
+	case !r.quarantined(q) && !r.refuseOutlasting(q):
 		r.sendPlain(q, to)
 	}
 }
@@ -114,6 +114,8 @@
 // failAfterCall answers a request whose last call has failed.
 func (r *Relay) failAfterCall(q *request, o Outcome) {
 	switch {
+	case r.drainOver():
+		r.fail(q, Stopping, retryAfterSoon)
 	case o == Aborted || !r.hasTimeLeft(q):
 		r.fail(q, OutOfTime, retryAfterSoon)
 	case o == Lost || o == Failure:
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -70,6 +70,7 @@
 	silentDomains []ident.FailureDomain
 
 	drainStartedAt time.Time // zero unless draining
+	drainEndsAt    time.Time // when calls are aborted; zero unless draining within a limited time
 	exited         bool
 
 	rng                *rand.Rand
@@ -211,6 +212,9 @@
 	if len(r.awaitingPermit) > 0 {
 		next = earlier(next, r.now.Add(queuePollInterval))
 	}
+	if r.now.Before(r.drainEndsAt) {
+		next = earlier(next, r.drainEndsAt)
+	}
 	return r.nextOrigins(next)
 }
 
@@ -283,6 +287,7 @@
 	r.tickOrigins()
 	r.expireOrders()
 	r.replanRoles()
+	r.endDrain()
 	r.finishDrain()
 }
 
--- a/pkg/relay/staged.go
+++ b/pkg/relay/staged.go
@@ -13,7 +13,7 @@
 
 // enqueue adds a request to the queue for decode memory.
 func (r *Relay) enqueue(q *request) {
-	if r.quarantined(q) {
+	if r.quarantined(q) || r.refuseOutlasting(q) {
 		return
 	}
 	q.phase = queued
@@ -59,7 +59,7 @@
 func (r *Relay) serveQueue(service ident.Route, qu *queue) {
 	var ended []*request
 	qu.each(func(q *request) {
-		if !r.now.Before(q.queueDeadline) || r.versionGone(q) {
+		if !r.now.Before(q.queueDeadline) || r.versionGone(q) || r.outlastsDrain(q) {
 			ended = append(ended, q)
 		}
 	})
@@ -68,6 +68,9 @@
 			r.failGone(q)
 			continue
 		}
+		if r.refuseOutlasting(q) {
+			continue
+		}
 		r.logRequest(q, "overload", "waited for "+q.waitingFor)
 		r.fail(q, Overloaded, r.overloadRetryAfter(qu))
 	}
@@ -315,7 +318,7 @@
 
 // decode runs a request at the engine that has reserved memory for it.
 func (r *Relay) decode(q *request) {
-	if r.quarantined(q) || (!r.backends.Accepts(r.now, q.target) || !r.permitted(q)) && !r.redirectDecode(q) {
+	if r.quarantined(q) || r.refuseOutlasting(q) || (!r.backends.Accepts(r.now, q.target) || !r.permitted(q)) && !r.redirectDecode(q) {
 		return
 	}
 	r.dropInvalidHandle(q)
--- a/pkg/relayhost/calls.go
+++ b/pkg/relayhost/calls.go
@@ -119,7 +119,7 @@
 	switch {
 	case !sent:
 		return relay.Unsent
-	case x.callerGone() || errors.Is(err, errDeadline):
+	case x.callerGone() || errors.Is(err, errDeadline) || errors.Is(err, errStopping):
 		return relay.Aborted
 	}
 	return relay.Lost
--- a/pkg/relayhost/front.go
+++ b/pkg/relayhost/front.go
@@ -29,7 +29,10 @@
 	defer body.Release()
 	j := h.core.register()
 	defer h.core.unregister(j)
-	x := &exchange{host: h, job: j, w: w, r: r, body: body.Bytes, spec: spec}
+	ctx, abortCalls := context.WithCancelCause(r.Context())
+	defer abortCalls(nil)
+	defer context.AfterFunc(h.calls, func() { abortCalls(errStopping) })()
+	x := &exchange{host: h, job: j, w: w, r: r, ctx: ctx, body: body.Bytes, spec: spec}
 	x.spec.Content = ident.HashContent(r.RequestURI, body.Bytes)
 	h.core.step(relay.Arrived{ID: j.id, Spec: x.spec})
 	x.run()
@@ -57,6 +60,7 @@
 	job  *job
 	w    http.ResponseWriter
 	r    *http.Request
+	ctx  context.Context // of calls; it ends when the caller leaves or the process stops
 	body []byte
 	spec relay.RequestSpec
 
@@ -165,8 +169,8 @@
 
 var errDeadline = errors.New("deadline passed")
 
-// withDeadline returns a context that ends when the caller disconnects or at a deadline on
-// the boot-time clock.
+// withDeadline returns a context that ends when the caller disconnects, when the process stops,
+// or at a deadline on the boot-time clock.
 func (x *exchange) withDeadline(deadline time.Time) (context.Context, context.CancelFunc) {
-	return context.WithTimeoutCause(x.r.Context(), timeLeft(deadline), errDeadline)
+	return context.WithTimeoutCause(x.ctx, timeLeft(deadline), errDeadline)
 }
--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -66,6 +66,7 @@
 type Host struct {
 	cfg      Config
 	ctx      context.Context
+	calls    context.Context // of calls for requests; it ends before the grace period does
 	log      *zap.Logger
 	core     *core
 	dialect  Dialect
@@ -110,6 +111,7 @@
 	h.peers = peers
 	h.mirror = follow.NewMirror(&storeSink{host: h}, mirrorBytes(cfg.MemoryBytes, cfg.ValueBytes), boottime.Now)
 	h.metrics.gaugeMirror(h.mirror)
+	cfg.Relay.DrainTime = cfg.drainTime()
 	h.core = newCore(relay.New(cfg.Relay, boottime.Now()), h.log, h.metrics, h.executeHostEffect)
 	source := newSharedSource(h.core, cfg.Source, h.log)
 	h.follower = follow.New(cfg.Follow, source, h.mirror, cfg.Prefix, boottime.Now)
@@ -137,6 +139,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	h.ctx = ctx
+	calls, abortCalls := context.WithCancelCause(ctx)
+	defer abortCalls(nil)
+	h.calls = calls
 	g, ctx := errgroup.WithContext(ctx)
 	servers, err := h.serve(g)
 	if err != nil {
@@ -150,7 +155,7 @@
 	g.Go(func() error { return h.follower.Run(ctx) })
 	g.Go(func() error {
 		defer cancel()
-		h.waitForStop(ctx, signals, servers[0])
+		h.waitForStop(ctx, signals, servers[0], abortCalls)
 		for _, s := range servers {
 			_ = s.Close()
 		}
@@ -252,12 +257,22 @@
 	writeStatus(w, http.StatusOK, 0)
 }
 
-// exitMargin is how long before the end of the grace period the process exits by itself.
-const exitMargin = 150 * time.Millisecond
+const (
+	// exitMargin is how long before the end of the grace period the process exits by itself.
+	exitMargin = 150 * time.Millisecond
+	// answerMargin is how long before that calls are aborted, so that their callers still get
+	// an answer.
+	answerMargin = 200 * time.Millisecond
+)
+
+// drainTime returns the time from a stop signal until calls are aborted.
+func (c Config) drainTime() time.Duration { return max(0, c.Grace-exitMargin-answerMargin) }
+
+var errStopping = errors.New("process stops")
 
 // waitForStop reloads settings and handles signals until the process may exit: every
 // request has been answered, or the grace period is over.
-func (h *Host) waitForStop(ctx context.Context, signals <-chan os.Signal, callerServer *http.Server) {
+func (h *Host) waitForStop(ctx context.Context, signals <-chan os.Signal, callerServer *http.Server, abortCalls context.CancelCauseFunc) {
 	var graceOver <-chan struct{}
 	grace := ctx
 	settings := time.NewTicker(reloadInterval)
@@ -294,6 +309,11 @@
 				// callers switch to other hosts.
 				callerServer.SetKeepAlivesEnabled(false)
 				h.core.step(relay.Drain{})
+				abort := time.AfterFunc(h.cfg.drainTime(), func() {
+					h.core.step(relay.Tick{}) // refuses what no server has got
+					abortCalls(errStopping)
+				})
+				defer abort.Stop()
 			}
 		}
 	}
--- a/pkg/relayhost/metrics.go
+++ b/pkg/relayhost/metrics.go
@@ -81,6 +81,8 @@
 		return "malformed"
 	case errors.Is(err, errDeadline), errors.Is(err, context.DeadlineExceeded):
 		return "deadline"
+	case errors.Is(err, errStopping):
+		return "stopping"
 	case errors.Is(err, context.Canceled):
 		return "caller left"
 	case errors.As(err, &failed) && failed.Step == "connect":
