origin: a host that is out of step does not decide by its own list alone

A host that was cut off or paused for up to 3 s while servers of a new version joined continued a stream of that version at the old one.

Cause: its list, younger than 3 s, showed one version. Where the caller does not name the request that began the stream, the host asked nobody; where it does, answers of hosts without a record counted as no objection, also if they saw two versions.

Change: the own list decides only if another host agrees on the only version and none that has answered is unsure, or if the list has been confirmed since the caller asked, which a request waits for up to a second as it did when nobody answered. Streams without a name are asked about too, each for itself. While one version serves, the answers agree and nothing waits.

"are not sent for streams without a request id" held the opposite; "for streams without a request id are about the only version, each for itself" replaces it.

Failed before, on: "do not continue a stream at the version that a host which is out of step takes for the only one" (v1 instead of v2, without a name) and three specs of pkg/origin/asks_test.go.

--- a/pkg/origin/asks.go
+++ b/pkg/origin/asks.go
@@ -21,14 +21,14 @@
 }
 
 type ask struct {
-	id       uint64
-	stream   Stream
-	at       time.Time
-	waiting  []ident.HostID // hosts that have not answered
-	answered bool
-	only     Origin // OnlyVersion, as others say
-	refuted  bool   // others disagree on the only version
-	// confirming is set if no host has answered in time, and a confirmed view is awaited.
+	id      uint64
+	stream  Stream
+	at      time.Time
+	waiting []ident.HostID // hosts that have not answered
+	only    Origin         // OnlyVersion, as others say
+	refuted bool           // others disagree on the only version
+	unsure  bool           // a host that has answered sees no only version
+	// confirming is set if a confirmed view is awaited.
 	confirming bool
 }
 
@@ -61,8 +61,12 @@
 	t.asks.deadlines.add(now.Add(t.cfg.AskTimeout), a.id)
 	t.asks.confirms.add(now.Add(t.cfg.AskTimeout+t.cfg.ConfirmTimeout), a.id)
 	a.confirming = len(to) == 0
+	q := Ask{ID: a.id, Service: s.Service}
+	if recordable(s) {
+		q.RequestID = s.RequestID
+	}
 	for _, h := range to {
-		t.send(h, Message{Asks: []Ask{{ID: a.id, RequestID: s.RequestID, Service: s.Service}}})
+		t.send(h, Message{Asks: []Ask{q}})
 	}
 	return Origin{}, true
 }
@@ -98,7 +102,6 @@
 		return
 	}
 	a.waiting = slices.Delete(a.waiting, i, i+1)
-	a.answered = true
 	switch {
 	case m.Basis == OnlyVersion:
 		o := Origin{Version: m.Version, Basis: OnlyVersion, From: from, Age: age(m.AgeMS)}
@@ -124,13 +127,18 @@
 	case m.Backend != "":
 		t.resolved(a, Origin{})
 		return
+	default:
+		a.unsure = true
 	}
 	if len(a.waiting) == 0 {
 		t.conclude(now, a)
 	}
 }
 
-// conclude ends an ask to which no host has answered that it has a record.
+// conclude ends an ask to which no host has answered that it has a record, or lets it wait for
+// a confirmed view. This host may have been cut off or paused while another version came, so it
+// believes its own view only if that is confirmed since, or another host agrees and none is
+// unsure.
 func (t *Tracker) conclude(now time.Time, a *ask) {
 	if r := t.book.get(now, a.stream); r != nil { // told in the meantime
 		t.resolved(a, t.recorded(now, r))
@@ -141,6 +149,8 @@
 	switch {
 	case a.refuted || own.Known() && a.only.Known() && own.Version != a.only.Version:
 		t.resolved(a, Origin{})
+	case own.Known() && (a.unsure || !a.only.Known()) && t.awaitsConfirmation(now, a):
+		a.confirming = true
 	case own.Known():
 		t.resolved(a, own)
 	case a.only.Known() && (n == 0 || n == 1 && one == a.only.Version):
@@ -156,8 +166,8 @@
 	t.out.Resolved = append(t.out.Resolved, Resolved{Stream: a.stream, Origin: o})
 }
 
-// awaitsConfirmation reports whether an ask without any answer waits for a confirmed view.
-// This host may be cut off, and may not have seen a version that serves elsewhere.
+// awaitsConfirmation reports whether the only version that this host sees may be out of date,
+// and a confirmed view is to be expected.
 func (t *Tracker) awaitsConfirmation(now time.Time, a *ask) bool {
 	confirmed := t.versions.confirmedAt
 	return !confirmed.IsZero() && confirmed.Before(a.at) && t.only(now, a.stream.Service).Known()
@@ -184,11 +194,7 @@
 			break
 		}
 		a := t.asks.byID[id]
-		switch {
-		case a == nil || a.confirming:
-		case !a.answered && t.awaitsConfirmation(now, a):
-			a.confirming = true
-		default:
+		if a != nil && !a.confirming {
 			t.conclude(now, a)
 		}
 	}
--- a/pkg/origin/asks_test.go
+++ b/pkg/origin/asks_test.go
@@ -156,15 +156,93 @@
 		Expect(t.Next()).To(Equal(at(2.5).Add(1)), "when the list is too old")
 	})
 
-	It("are not sent for streams without a request id", func() {
+	// Guards against a stream that a host continues at the version that it knows, while another
+	// version has joined since the host was cut off or paused.
+	It("wait for a confirmed list if a host that answers sees no only version", func() {
+		for _, confirmed := range []bool{true, false} {
+			ask(v1)
+			t.Confirmed(start, at(-0.5)) // the list is not current
+			answer("h1", origin.Answer{})
+			t.Tick(at(0.15))
+			Expect(outcome()).To(Equal("none"))
+			if confirmed {
+				t.Confirmed(at(0.3), at(0.2))
+				Expect(outcome()).To(Equal("v1"))
+				continue
+			}
+			t.Changed(at(0.3), v2)
+			t.Confirmed(at(0.3), at(0.2))
+			Expect(outcome()).To(BeEmpty())
+		}
+	})
+
+	It("end at once if another host agrees on the only version and none is unsure", func() {
+		ask(v1)
+		t.Confirmed(start, at(-0.5))
+		answer("h1", only("v1"))
+		t.Tick(at(0.15))
+		Expect(outcome()).To(Equal("v1"))
+	})
+
+	It("do not end with the first confirmed list that is older, nor by late answers alone", func() {
+		ask(v1)
+		t.Confirmed(start, at(-0.5))
+		for _, h := range []ident.HostID{"h1", "h2", "h3"} {
+			answer(h, origin.Answer{})
+		}
+		Expect(outcome()).To(Equal("none"))
+		t.Confirmed(at(0.1), at(-0.2))
+		Expect(outcome()).To(Equal("none"))
+		t.Tick(at(1.15))
+		Expect(outcome()).To(BeEmpty())
+	})
+
+	It("for streams without a request id are about the only version, each for itself", func() {
+		unnamed := func(n uint64) origin.Stream { return origin.Stream{Service: service, Unnamed: n} }
 		t = settled(v1)
 		t.SetPeers(start, peers(4, "a", "b"))
+		t.Confirmed(start, at(-0.5))
+		for n := range uint64(2) {
+			_, pending := t.Resolve(start, unnamed(n+1))
+			Expect(pending).To(BeTrue())
+		}
+		asked := map[uint64][]ident.HostID{}
+		for _, m := range t.Take().Messages {
+			q := m.Message.Asks[0]
+			Expect(q.RequestID).To(BeEmpty())
+			asked[q.ID] = append(asked[q.ID], m.To)
+		}
+		Expect(asked).To(HaveLen(2))
+		a := only("v1")
+		for id, to := range asked {
+			Expect(to).To(HaveLen(3))
+			a.ID = max(a.ID, id)
+		}
+		for _, h := range asked[a.ID] {
+			t.Receive(at(0.01), h, origin.Message{Answers: []origin.Answer{a}})
+		}
+		resolved := t.Take().Resolved
+		Expect(resolved).To(HaveLen(1))
+		Expect(resolved[0].Stream).To(Equal(unnamed(2)))
+		Expect(resolved[0].Origin.Version).To(Equal(ident.Version("v1")))
+		t.Tick(at(0.15)) // the first one has no answer
+		Expect(t.Take().Resolved).To(BeEmpty())
+		t.Changed(at(0.3), v2)
+		t.Confirmed(at(0.3), at(0.2))
+		resolved = t.Take().Resolved
+		Expect(resolved).To(HaveLen(1))
+		Expect(resolved[0].Origin.Known()).To(BeFalse())
+		// Nobody is asked when this host itself knows of two versions.
+		o, pending := t.Resolve(at(0.4), unnamed(3))
+		Expect([]any{o.Known(), pending}).To(Equal([]any{false, false}))
+		Expect(t.Take().Messages).To(BeEmpty())
+	})
+
+	It("for streams without a request id are not sent by a host without others", func() {
+		t = settled(v1)
 		o, pending := t.Resolve(start, stream(""))
 		Expect(pending).To(BeFalse())
 		Expect(o).To(Equal(origin.Origin{Version: "v1", Basis: origin.OnlyVersion, Age: 30 * time.Second}))
-		t.Changed(start, v2)
-		o, _ = t.Resolve(start, stream(""))
-		Expect(o.Known()).To(BeFalse())
 	})
 
 	It("are answered from the record, else with the only version", func() {
--- a/pkg/origin/tracker.go
+++ b/pkg/origin/tracker.go
@@ -137,10 +137,13 @@
 // the stream in the meantime.
 //
 // The others are asked also if one version alone can have begun the stream: they may have
-// learned of another one earlier.
+// learned of another one earlier. For a stream without a name, that is all they are asked.
 func (t *Tracker) Resolve(now time.Time, s Stream) (o Origin, pending bool) {
 	if !recordable(s) {
-		return t.only(now, s.Service), false
+		if o := t.only(now, s.Service); !o.Known() {
+			return o, false
+		}
+		return t.ask(now, s)
 	}
 	if r := t.book.get(now, s); r != nil {
 		return t.recorded(now, r), false
--- a/pkg/origin/types.go
+++ b/pkg/origin/types.go
@@ -11,6 +11,8 @@
 type Stream struct {
 	RequestID string
 	Service   ident.Route
+	// Unnamed tells the streams of this host apart whose request is not known; otherwise 0.
+	Unnamed uint64
 }
 
 // Basis says how the version of a stream is known.
--- a/pkg/relay/origins.go
+++ b/pkg/relay/origins.go
@@ -89,7 +89,11 @@
 
 // stream names the stream of a request.
 func (q *request) stream() origin.Stream {
-	return origin.Stream{RequestID: q.spec.firstRequest(), Service: q.service.Name}
+	s := origin.Stream{RequestID: q.spec.firstRequest(), Service: q.service.Name}
+	if s.RequestID == "" {
+		s.Unnamed = uint64(q.id)
+	}
+	return s
 }
 
 // resolveOrigin finds out the version of a stream that a caller resumes.
--- a/pkg/relay/origins_fleet_test.go
+++ b/pkg/relay/origins_fleet_test.go
@@ -196,6 +196,71 @@
 		Expect(expect[relay.RelayStream](h).ID).To(Equal(d.ID))
 	})
 
+	// Guards against a stream that goes on at another version, at a host that was cut off or paused
+	// while servers of that version joined.
+	DescribeTable("do not continue a stream at the version that a host which is out of step takes for the only one",
+		func(named bool) {
+			f := newOriginFleet(4, "v1", "v1")
+			f.wait(20 * time.Second)
+			outOfStep := f.hosts[3]
+			for _, h := range f.hosts[:3] {
+				h.step(relay.EntryChanged{Entry: engine("d3", backends.Decode, "v2")})
+				f.deliver(h)
+			}
+			name := ""
+			for i := 0; name == ""; i++ {
+				h, id := f.hosts[i%3], fmt.Sprint("r", i)
+				d := f.begin(h, id)
+				f.deliver(h)
+				h.step(relay.CallerLeft{ID: d.ID})
+				if d.To.Version == "v2" {
+					name = id
+				}
+			}
+			for _, h := range f.hosts {
+				h.now = h.now.Add(50 * time.Millisecond)
+			}
+			resumes := ""
+			if named {
+				resumes = name
+			}
+			outOfStep.last++
+			outOfStep.step(relay.Arrived{ID: outOfStep.last, Spec: relay.RequestSpec{
+				Host: "h", Path: "/summary/", RequestID: "again", Key: goodKey, Resumes: true, ResumesRequest: resumes,
+				PromptTokens: 5000, MaxOutputTokens: 1000, TokensKnown: true, Deadline: 14 * time.Second,
+			}})
+			f.deliver(outOfStep)
+			var refused *relay.Refuse
+			look := func() {
+				for _, e := range outOfStep.out {
+					switch e := e.(type) {
+					case relay.Reserve:
+						Expect(e.To.Version).To(Equal(ident.Version("v2")), "another version than that which began the stream")
+					case relay.Refuse:
+						refused = &e
+					}
+				}
+			}
+			look()
+			for range 40 {
+				outOfStep.now = outOfStep.now.Add(10 * time.Millisecond)
+				outOfStep.step(relay.Tick{})
+				f.deliver(outOfStep)
+				look()
+			}
+			outOfStep.step(relay.EntryChanged{Entry: engine("d3", backends.Decode, "v2")})
+			look()
+			outOfStep.platformRead()
+			look()
+			if !named {
+				Expect(refused).NotTo(BeNil(), "two versions may have begun it")
+				Expect(refused.Status).To(Equal(503))
+			}
+		},
+		Entry("that its caller names", true),
+		Entry("that its caller does not name", false),
+	)
+
 	It("forget a caller that leaves while its origin is looked for", func() {
 		f := newOriginFleet(3, "v1", "v2")
 		h := f.hosts[0]
