origin: answers say whether a host sees one version or several

What was seen: with the change before, two specs of platform/rollout_test.go failed: a stream that is resumed after all hosts were killed was refused although one version alone had served.

Cause: hosts that have just started do not know an only version. Their answers counted as objections, so the stream waited for a confirmed list, which comes up to 1.2 s later, and the wait ends after 1 s.

Change: a host without an only version answers that it sees one version now, which agrees or disagrees, or several, which disagrees. Only then, or if nobody agrees, a stream waits. Both are new values of a field; programs that do not know them take them for unknown. The spec "are answered from the record, else with the only version" now expects these values.

--- a/pkg/origin/asks.go
+++ b/pkg/origin/asks.go
@@ -24,10 +24,11 @@
 	id      uint64
 	stream  Stream
 	at      time.Time
-	waiting []ident.HostID // hosts that have not answered
-	only    Origin         // OnlyVersion, as others say
-	refuted bool           // others disagree on the only version
-	unsure  bool           // a host that has answered sees no only version
+	waiting []ident.HostID  // hosts that have not answered
+	only    Origin          // OnlyVersion, as others say
+	refuted bool            // others disagree on the only version
+	seen    []ident.Version // that others see alone
+	several bool            // a host that has answered sees several versions
 	// confirming is set if a confirmed view is awaited.
 	confirming bool
 }
@@ -82,8 +83,14 @@
 			a.Backend, a.StartedAt = r.process.ID, r.process.StartedAt
 			return a
 		}
-	} else {
-		o = t.only(now, q.Service)
+	} else if o = t.only(now, q.Service); !o.Known() {
+		switch v, n := t.versions.candidates(now, q.Service); {
+		case n == 1:
+			a.Basis, a.Version = OneSeen, v
+		case n > 1:
+			a.Basis = SeveralSeen
+		}
+		return a
 	}
 	a.Basis, a.Version, a.AgeMS = o.Basis, o.Version, o.Age.Milliseconds()
 	a.Backend, a.StartedAt = o.Process.ID, o.Process.StartedAt
@@ -127,8 +134,10 @@
 	case m.Backend != "":
 		t.resolved(a, Origin{})
 		return
-	default:
-		a.unsure = true
+	case m.Basis == OneSeen:
+		a.seen = append(a.seen, m.Version)
+	case m.Basis == SeveralSeen:
+		a.several = true
 	}
 	if len(a.waiting) == 0 {
 		t.conclude(now, a)
@@ -137,8 +146,8 @@
 
 // conclude ends an ask to which no host has answered that it has a record, or lets it wait for
 // a confirmed view. This host may have been cut off or paused while another version came, so it
-// believes its own view only if that is confirmed since, or another host agrees and none is
-// unsure.
+// believes its own view only if that is confirmed since, or another host agrees and none
+// disagrees.
 func (t *Tracker) conclude(now time.Time, a *ask) {
 	if r := t.book.get(now, a.stream); r != nil { // told in the meantime
 		t.resolved(a, t.recorded(now, r))
@@ -149,7 +158,7 @@
 	switch {
 	case a.refuted || own.Known() && a.only.Known() && own.Version != a.only.Version:
 		t.resolved(a, Origin{})
-	case own.Known() && (a.unsure || !a.only.Known()) && t.awaitsConfirmation(now, a):
+	case own.Known() && !a.agrees(own.Version) && t.awaitsConfirmation(now, a):
 		a.confirming = true
 	case own.Known():
 		t.resolved(a, own)
@@ -160,6 +169,13 @@
 	}
 }
 
+// agrees reports whether another host has answered that it sees no version but v, and none that
+// it sees another one.
+func (a *ask) agrees(v ident.Version) bool {
+	others := slices.ContainsFunc(a.seen, func(o ident.Version) bool { return o != v })
+	return !a.several && !others && (a.only.Known() || len(a.seen) > 0)
+}
+
 func (t *Tracker) resolved(a *ask, o Origin) {
 	delete(t.asks.byID, a.id)
 	delete(t.asks.byStream, a.stream)
--- a/pkg/origin/asks_test.go
+++ b/pkg/origin/asks_test.go
@@ -158,32 +158,43 @@
 
 	// Guards against a stream that a host continues at the version that it knows, while another
 	// version has joined since the host was cut off or paused.
-	It("wait for a confirmed list if a host that answers sees no only version", func() {
-		for _, confirmed := range []bool{true, false} {
-			ask(v1)
-			t.Confirmed(start, at(-0.5)) // the list is not current
-			answer("h1", origin.Answer{})
-			t.Tick(at(0.15))
-			Expect(outcome()).To(Equal("none"))
-			if confirmed {
+	It("wait for a confirmed list unless a host that answers agrees and none disagrees", func() {
+		one := func(v ident.Version) origin.Answer { return origin.Answer{Basis: origin.OneSeen, Version: v} }
+		several, unknown := origin.Answer{Basis: origin.SeveralSeen}, origin.Answer{}
+		for _, c := range []struct {
+			answers []origin.Answer
+			waits   bool
+		}{
+			{[]origin.Answer{only("v1")}, false},
+			{[]origin.Answer{one("v1")}, false},
+			{[]origin.Answer{one("v1"), unknown, unknown}, false},
+			{[]origin.Answer{unknown}, true}, // as a program answers that knows no more bases
+			{[]origin.Answer{several}, true},
+			{[]origin.Answer{one("v2")}, true},
+			{[]origin.Answer{only("v1"), several}, true},
+			{[]origin.Answer{one("v1"), one("v2"), only("v1")}, true},
+		} {
+			for _, joined := range []bool{false, true} {
+				to := ask(v1)
+				t.Confirmed(start, at(-0.5)) // the list is not current
+				for i, a := range c.answers {
+					answer(to[i], a)
+				}
+				t.Tick(at(0.15))
+				if !c.waits {
+					Expect(outcome()).To(Equal("v1"), "%+v", c)
+					continue
+				}
+				Expect(outcome()).To(Equal("none"), "%+v", c)
+				if joined {
+					t.Changed(at(0.3), v2)
+				}
 				t.Confirmed(at(0.3), at(0.2))
-				Expect(outcome()).To(Equal("v1"))
-				continue
+				Expect(outcome()).To(Equal(map[bool]any{true: "", false: "v1"}[joined]), "%+v", c)
 			}
-			t.Changed(at(0.3), v2)
-			t.Confirmed(at(0.3), at(0.2))
-			Expect(outcome()).To(BeEmpty())
 		}
 	})
 
-	It("end at once if another host agrees on the only version and none is unsure", func() {
-		ask(v1)
-		t.Confirmed(start, at(-0.5))
-		answer("h1", only("v1"))
-		t.Tick(at(0.15))
-		Expect(outcome()).To(Equal("v1"))
-	})
-
 	It("do not end with the first confirmed list that is older, nor by late answers alone", func() {
 		ask(v1)
 		t.Confirmed(start, at(-0.5))
@@ -259,7 +270,11 @@
 		Expect(reply("q")).To(Equal(origin.Answer{ID: 5, Basis: origin.OnlyVersion, Version: "v1", AgeMS: 31000}))
 		t.Changed(at(1), serving("s1", 2, "v2"))
 		Expect(reply("r")).To(Equal(origin.Answer{ID: 5, Backend: "s1", StartedAt: 1}))
+		Expect(reply("q")).To(Equal(origin.Answer{ID: 5, Basis: origin.SeveralSeen}))
+		t = origin.New(origin.DefaultConfig("h0", "a"), start)
 		Expect(reply("q")).To(Equal(origin.Answer{ID: 5}))
+		t.Listed(start, []origin.Serving{v1})
+		Expect(reply("q")).To(Equal(origin.Answer{ID: 5, Basis: origin.OneSeen, Version: "v1"}), "others may have served before")
 	})
 
 	It("have ids that differ from those of an earlier process of the host", func() {
--- a/pkg/origin/types.go
+++ b/pkg/origin/types.go
@@ -26,6 +26,13 @@
 	OnlyVersion       // no other version can have begun the stream
 )
 
+// Bases of answers of hosts that do not know the origin. Programs that do not know them take
+// them for Unknown.
+const (
+	OneSeen     Basis = iota + OnlyVersion + 1 // the host sees one version now
+	SeveralSeen                                // the host sees several versions that can have begun it
+)
+
 // Origin is what is known of the beginning of a stream.
 type Origin struct {
 	Version ident.Version
@@ -79,8 +86,8 @@
 	Service   ident.Route
 }
 
-// Answer answers an Ask. Basis is Unknown if the host does not know the origin. If Backend is
-// set then, the host has a record of the stream that cannot be relied on.
+// Answer answers an Ask. Basis is Unknown, OneSeen or SeveralSeen if the host does not know the
+// origin. If Backend is set then, the host has a record of the stream that cannot be relied on.
 type Answer struct {
 	_       struct{} `cbor:",toarray"`
 	ID      uint64
