sendonce, relayhost: answers without an end stay within a share of the memory

With 300 callers of a process with 64 MB and 60 servers that send without end, resident memory reached 302 MB for bodies with a length of 8 MB, 72 and 79 MB for bodies without a length and in chunks, 66 MB for prefills.

Cause: the library took memory by the length that a head states; buffers that double took several times what the budget counts; and an answer counted only until it had been read, not while its caller took it.

Change: bodies are read in pieces as bytes arrive. The budget counts an answer until its caller has it, and what has arrived of a stream since its last event; 16 KiB of each answer are free of it, before 64.

--- a/internal/ingresstest/process_test.go
+++ b/internal/ingresstest/process_test.go
@@ -65,8 +65,9 @@
 	fds    int   // most open descriptors
 }
 
-// startProcess starts the process and waits until it is ready.
-func startProcess(t *testing.T) *process {
+// startProcess starts the process and waits until it is ready. more are backend servers beside
+// the two that answer.
+func startProcess(t *testing.T, more ...*platformtest.RawServer) *process {
 	g := gomega.NewWithT(t)
 	store, err := platformtest.NewStore()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -77,6 +78,9 @@
 		t.Cleanup(s.Close)
 		g.Expect(store.Put("servers/"+id, s.Entry("a", "ready"))).To(gomega.Succeed())
 	}
+	for _, s := range more {
+		g.Expect(store.Put("servers/"+s.ID, s.Entry("a", "ready"))).To(gomega.Succeed())
+	}
 	g.Expect(store.Put("op/config", platformtest.Config(1, platformtest.Key))).To(gomega.Succeed())
 	h, err := platformtest.NewHost(t.TempDir(), "h1", "a", 170, store.Addr())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/pkg/relayhost/calls.go
+++ b/pkg/relayhost/calls.go
@@ -57,7 +57,9 @@
 	defer fasthttp.ReleaseResponse(resp)
 	ctx, cancel := x.withDeadline(e.Deadline.Add(answerGrace))
 	defer cancel()
-	err := x.host.clients.forAddr(e.To.Addr).Do(x.host.withTargetCheck(ctx, e.To), req, resp)
+	x.forgetBuffered()
+	forget, err := x.host.clients.forAddr(e.To.Addr).DoHeld(x.host.withTargetCheck(ctx, e.To), req, resp)
+	x.forget = forget
 	ended.Took = boottime.Now().Sub(begin)
 	if err != nil {
 		ended.Outcome = x.errorOutcome(err, e.To)
--- a/pkg/relayhost/front.go
+++ b/pkg/relayhost/front.go
@@ -33,6 +33,7 @@
 	defer abortCalls(nil)
 	defer context.AfterFunc(h.calls, func() { abortCalls(errStopping) })()
 	x := &exchange{host: h, job: j, w: w, r: r, ctx: ctx, body: body.Bytes, spec: spec}
+	defer x.forgetBuffered()
 	x.spec.Content = ident.HashContent(r.RequestURI, body.Bytes)
 	h.core.step(relay.Arrived{ID: j.id, Spec: x.spec})
 	x.run()
@@ -66,6 +67,7 @@
 
 	prefillLink   *sendonce.Link  // over which the last prefill was answered
 	buffered      *bufferedAnswer // last complete answer from a backend server
+	forget        func()          // ends counting the memory of buffered; nil if it does not count
 	answered      bool            // the caller has been given a whole response
 	headerSent    bool            // the header of the stream has been sent
 	lastEventID   string          // id of the last event sent to the caller
@@ -164,6 +166,15 @@
 	}
 }
 
+// forgetBuffered drops the buffered answer.
+func (x *exchange) forgetBuffered() {
+	x.buffered = nil
+	if x.forget != nil {
+		x.forget()
+		x.forget = nil
+	}
+}
+
 // callerGone reports whether the caller has disconnected.
 func (x *exchange) callerGone() bool { return x.r.Context().Err() != nil }
 
--- a/pkg/sendonce/body.go
+++ b/pkg/sendonce/body.go
@@ -152,19 +152,40 @@
 	return n, nil
 }
 
-// readAll reads a body of up to limit bytes. Memory is taken as bytes arrive, whatever length
-// the head states.
+const (
+	// firstPiece and maxPiece are the sizes in bytes of the pieces in which a body is read.
+	firstPiece = 2 << 10
+	maxPiece   = 64 << 10
+)
+
+// readAll reads a body of up to limit bytes. Memory is taken in pieces as bytes arrive, whatever
+// length the head states: a buffer that grows would take several times what has arrived.
 func readAll(body io.Reader, h responseHead, limit int) ([]byte, error) {
 	if h.framing == byLength && h.length > int64(limit) {
 		return nil, fmt.Errorf("body of %d bytes: %w", h.length, ErrTooLong)
 	}
-	var buf bytes.Buffer
-	if h.framing == byLength {
-		buf.Grow(int(min(h.length, smallResponse)) + bytes.MinRead)
-	}
-	n, err := buf.ReadFrom(io.LimitReader(body, int64(limit)+1))
-	if err == nil && n > int64(limit) {
-		err = fmt.Errorf("body: %w", ErrTooLong)
+	var (
+		pieces [][]byte
+		piece  = make([]byte, 0, firstPiece)
+		total  int
+	)
+	for {
+		n, err := body.Read(piece[len(piece):cap(piece)])
+		piece, total = piece[:len(piece)+n], total+n
+		switch {
+		case total > limit:
+			return nil, fmt.Errorf("body: %w", ErrTooLong)
+		case errors.Is(err, io.EOF):
+			if len(pieces) == 0 {
+				return piece, nil
+			}
+			return bytes.Join(append(pieces, piece), nil), nil
+		case err != nil:
+			return nil, err
+		}
+		if len(piece) == cap(piece) {
+			pieces = append(pieces, piece)
+			piece = make([]byte, 0, min(2*cap(piece), maxPiece))
+		}
 	}
-	return buf.Bytes(), err
 }
--- a/pkg/sendonce/budget.go
+++ b/pkg/sendonce/budget.go
@@ -10,7 +10,7 @@
 var ErrOverBudget = errors.New("no memory for a large response")
 
 // smallResponse is the number of bytes of each response that needs no memory from a Budget.
-const smallResponse = 64 << 10
+const smallResponse = 16 << 10
 
 // Budget is memory for large responses that several clients share. It is safe for
 // concurrent use.
@@ -23,7 +23,8 @@
 	return b
 }
 
-// account counts the bytes of one response. A nil account counts nothing.
+// account counts the bytes of one response, of a streamed one those since its last progress. A
+// nil account counts nothing.
 type account struct {
 	budget *Budget
 	read   int64
@@ -55,9 +56,10 @@
 	return true
 }
 
-// close returns the memory to the budget.
+// close returns the memory to the budget. The account counts anew from then on.
 func (a *account) close() {
 	if a != nil {
 		a.budget.left.Add(a.taken)
+		a.read, a.taken = 0, 0
 	}
 }
--- a/pkg/sendonce/client.go
+++ b/pkg/sendonce/client.go
@@ -35,8 +35,9 @@
 	MaxConns    int           // 1024 concurrent calls; further ones fail unsent
 	MaxBody     int           // 16 MiB; bytes of a response that is not streamed
 	BufferSize  int           // 4 KiB; read buffer, also the largest header
-	// Budget bounds the memory of large responses of all clients that share it. Without
-	// one, peers that send endless responses can each use MaxBody.
+	// Budget bounds the memory of large responses, and of what has arrived of streams without
+	// progress, of all clients that share it. Without one, peers that send endless responses can
+	// each use MaxBody.
 	Budget *Budget
 	// UnackedTimeout closes a connection when the peer has not acknowledged sent data
 	// for that long, for example in a network partition. By default the kernel
@@ -132,6 +133,19 @@
 // Do sends req at most once and reads the complete response. It is aborted when ctx ends. The
 // body of resp stays valid when resp is released.
 func (c *Client) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
+	forget, err := c.DoHeld(ctx, req, resp)
+	forget()
+	return err
+}
+
+// DoHeld is Do for a body that is kept. It counts for Options.Budget until forget is called,
+// also after an error.
+func (c *Client) DoHeld(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) (forget func(), err error) {
+	held := c.opt.Budget.newAccount()
+	return held.close, c.do(ctx, req, resp, held)
+}
+
+func (c *Client) do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, held *account) error {
 	id := c.callID(req)
 	cn, err := c.connect(ctx, c.usableFor(req, id))
 	if err != nil {
@@ -139,7 +153,7 @@
 	}
 	stop := context.AfterFunc(ctx, cn.abort)
 	cn.expect(time.Time{}, framingFactor*c.opt.MaxBody+c.opt.BufferSize)
-	cn.account = c.opt.Budget.newAccount()
+	cn.account = held
 	h, step, err := c.roundTrip(cn, id, req, resp)
 	if err == nil {
 		var body []byte
@@ -148,7 +162,6 @@
 		}
 		resp.SetBodyRaw(body)
 	}
-	cn.account.close()
 	cn.account = nil
 	if !stop() && err == nil {
 		// The response is complete, but ctx ended and the connection has been closed.
--- a/pkg/sendonce/conn.go
+++ b/pkg/sendonce/conn.go
@@ -15,7 +15,7 @@
 	br        *bufio.Reader
 	written   atomic.Int64
 	bytesLeft int      // that may still be read, see expect
-	account   *account // of the current response; nil if it is streamed
+	account   *account // of the current response; nil without a budget
 	idleSince time.Time
 	history   history // only with Options.EchoHeader
 }
--- a/pkg/sendonce/stream.go
+++ b/pkg/sendonce/stream.go
@@ -39,6 +39,7 @@
 	resp := fasthttp.AcquireResponse()
 	s := &Stream{client: c, cn: cn, ctx: ctx, req: req, resp: resp}
 	s.stop = context.AfterFunc(ctx, cn.abort)
+	cn.account = c.opt.Budget.newAccount()
 	s.Progress(progressTimeout, maxUnread)
 	h, step, err := c.roundTrip(cn, id, req, resp)
 	if err != nil {
@@ -72,12 +73,13 @@
 // Progress records that the body has made progress: from now on, the stream fails if the
 // next progress takes longer than d, unless d is 0, or more than the given bytes. Bytes
 // that arrive in between do not extend the time, so a peer that sends meaningless bytes
-// cannot keep a stream open.
+// cannot keep a stream open. What has arrived before no longer counts for Options.Budget.
 func (s *Stream) Progress(d time.Duration, bytes int) {
 	var deadline time.Time
 	if d > 0 {
 		deadline = time.Now().Add(d)
 	}
+	s.cn.account.close()
 	s.cn.expect(deadline, bytes)
 }
 
@@ -129,6 +131,8 @@
 func (s *Stream) close() {
 	alive := s.stop()
 	last := s.client.isLastUse(s.cn, s.req, s.resp, s.head)
+	s.cn.account.close()
+	s.cn.account = nil
 	if !s.complete || !alive {
 		s.cn.abort()
 		last = true
