--- a/pkg/relayhost/host.go
+++ b/pkg/relayhost/host.go
@@ -265,8 +265,11 @@
 	answerMargin = 200 * time.Millisecond
 )
 
-// drainTime returns the time from a stop signal until calls are aborted.
-func (c Config) drainTime() time.Duration { return max(0, c.Grace-exitMargin-answerMargin) }
+// drainTime returns the time from a stop signal until calls are aborted. Of a grace period that
+// is shorter than the margins, it is a half.
+func (c Config) drainTime() time.Duration {
+	return max(c.Grace/2, c.Grace-exitMargin-answerMargin)
+}
 
 var errStopping = errors.New("process stops")
 
