--- a/internal/ingresstest/process_test.go
+++ b/internal/ingresstest/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"net/http"
 	"os"
@@ -108,17 +109,26 @@
 	return p
 }
 
+// newRequest returns a request with an API key and a deadline.
+func (p *process) newRequest(ctx context.Context, path, id, body string) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.host.Front+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Host = "x.example"
+	req.Header.Set("X-Attempt-Id", id)
+	req.Header.Set("X-Deadline-Ms", "4000")
+	req.Header.Set("Authorization", "Bearer "+platformtest.Key)
+	return req, nil
+}
+
 // ordinaryRequest sends a request of a well-behaved caller.
 func (p *process) ordinaryRequest() error {
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
-	req, err := http.NewRequest(http.MethodPost, "http://"+p.host.Front+"/post/ordinary", strings.NewReader(strings.Repeat("b", 4096)))
+	req, err := p.newRequest(context.Background(), "/post/ordinary", "ordinary", strings.Repeat("b", 4096))
 	if err != nil {
 		return err
 	}
-	req.Host = "x.example"
-	req.Header.Set("X-Attempt-Id", "ordinary")
-	req.Header.Set("X-Deadline-Ms", "4000")
-	req.Header.Set("Authorization", "Bearer "+platformtest.Key)
 	resp, err := client.Do(req)
 	if err != nil {
 		return err
--- a/internal/ingresstest/servers_test.go
+++ b/internal/ingresstest/servers_test.go
@@ -59,7 +59,7 @@
 // answer sends the endless answer to one request.
 func (e endless) answer(c net.Conn, r *http.Request) {
 	if strings.HasPrefix(r.URL.Path, "/v1/") {
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n{\"hold\":\"hold\"}")
+		_, _ = io.WriteString(c, platformtest.ReservationAnswer)
 		return
 	}
 	block := strings.Repeat(e.block, 1+4096/len(e.block))
@@ -72,17 +72,17 @@
 func answerEndlessly(t *testing.T, e endless) {
 	g := gomega.NewWithT(t)
 	var bad []*platformtest.RawServer
-	add := func(id, service, stage string, answer func(net.Conn, *http.Request)) {
-		s, err := platformtest.NewRawServer(id, service, stage, answer)
+	add := func(id, stage string) {
+		s, err := platformtest.NewRawServer(id, e.service, stage, e.answer)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		t.Cleanup(s.Close)
 		bad = append(bad, s)
 	}
 	for i := range badServers {
-		add(fmt.Sprint("bad-", i), e.service, e.stage, e.answer)
+		add(fmt.Sprint("bad-", i), e.stage)
 	}
 	if e.stage == "prefill" {
-		add("decode", e.service, "decode", e.answer)
+		add("decode", "decode")
 	}
 	p := startProcess(t, bad...)
 	before := 0
@@ -118,16 +118,12 @@
 
 // request sends a request and drops what it gets.
 func (p *process) request(ctx context.Context, path string) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.host.Front+path, strings.NewReader("body"))
+	req, err := p.newRequest(ctx, path, strings.ReplaceAll(path, "/", "-"), "body")
 	if err != nil {
 		return
 	}
-	req.Host = "x.example"
-	req.Header.Set("X-Attempt-Id", strings.ReplaceAll(path, "/", "-"))
-	req.Header.Set("X-Deadline-Ms", "4000")
 	req.Header.Set("X-Model", "m")
 	req.Header.Set("X-Token-Usage", "50,80")
-	req.Header.Set("Authorization", "Bearer "+platformtest.Key)
 	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
 	if err != nil {
 		time.Sleep(10 * time.Millisecond)
--- a/pkg/sendonce/fuzz_test.go
+++ b/pkg/sendonce/fuzz_test.go
@@ -160,17 +160,29 @@
 }
 
 func readWhole(ctx context.Context, c *sendonce.Client) (string, error) {
+	return doWhole(ctx, c, getRequest(c))
+}
+
+func readStream(ctx context.Context, c *sendonce.Client) (string, error) {
+	return streamWithin(5*time.Second)(ctx, c, getRequest(c))
+}
+
+func doWhole(ctx context.Context, c *sendonce.Client, req *fasthttp.Request) (string, error) {
 	resp := fasthttp.AcquireResponse()
-	err := c.Do(ctx, getRequest(c), resp)
+	err := c.Do(ctx, req, resp)
 	return string(resp.Body()), err
 }
 
-func readStream(ctx context.Context, c *sendonce.Client) (string, error) {
-	s, err := c.Stream(ctx, getRequest(c), 5*time.Second)
-	if err != nil {
-		return "", err
+// streamWithin returns a call that reads a whole stream, whose head has to arrive within a
+// time unless that is 0.
+func streamWithin(d time.Duration) func(context.Context, *sendonce.Client, *fasthttp.Request) (string, error) {
+	return func(ctx context.Context, c *sendonce.Client, req *fasthttp.Request) (string, error) {
+		s, err := c.Stream(ctx, req, d)
+		if err != nil {
+			return "", err
+		}
+		defer s.Close()
+		body, err := io.ReadAll(s)
+		return string(body), err
 	}
-	defer s.Close()
-	body, err := io.ReadAll(s)
-	return string(body), err
 }
--- a/pkg/sendonce/malformed_test.go
+++ b/pkg/sendonce/malformed_test.go
@@ -15,11 +15,6 @@
 	"github.com/mulberrystream/mulberrystream/pkg/sendonce"
 )
 
-const (
-	okHead    = "HTTP/1.1 200 OK\r\n"
-	chunkHead = okHead + "Transfer-Encoding: chunked\r\n\r\n"
-)
-
 // malformedAnswers are bytes that are no response, each in one place.
 var malformedAnswers = []struct{ place, answer string }{
 	{"status 000", "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok"},
@@ -32,36 +27,36 @@
 	{"another version", "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nok"},
 	{"control byte in the reason", "HTTP/1.1 200 O\x00K\r\nContent-Length: 2\r\n\r\nok"},
 	{"empty line before the status line", "\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"},
-	{"blank in a name", okHead + "X y: 1\r\nContent-Length: 2\r\n\r\nok"},
-	{"blank before a colon", okHead + "X-Y : 1\r\nContent-Length: 2\r\n\r\nok"},
-	{"tab before a colon", okHead + "X-Y\t: 1\r\nContent-Length: 2\r\n\r\nok"},
-	{"control byte in a name", okHead + "X\x01Y: 1\r\nContent-Length: 2\r\n\r\nok"},
-	{"byte above 127 in a name", okHead + "X\xffY: 1\r\nContent-Length: 2\r\n\r\nok"},
-	{"empty name", okHead + ": 1\r\nContent-Length: 2\r\n\r\nok"},
-	{"field without a colon", okHead + "X-Y\r\nContent-Length: 2\r\n\r\nok"},
-	{"continued line", okHead + "X-Y: 1\r\n 2\r\nContent-Length: 2\r\n\r\nok"},
-	{"NUL in a value", okHead + "X-Y: 1\x002\r\nContent-Length: 2\r\n\r\nok"},
-	{"DEL in a value", okHead + "X-Y: 1\x7f2\r\nContent-Length: 2\r\n\r\nok"},
-	{"carriage return in a value", okHead + "X-Y: 1\r2\r\nContent-Length: 2\r\n\r\nok"},
+	{"blank in a name", okLine + "X y: 1\r\nContent-Length: 2\r\n\r\nok"},
+	{"blank before a colon", okLine + "X-Y : 1\r\nContent-Length: 2\r\n\r\nok"},
+	{"tab before a colon", okLine + "X-Y\t: 1\r\nContent-Length: 2\r\n\r\nok"},
+	{"control byte in a name", okLine + "X\x01Y: 1\r\nContent-Length: 2\r\n\r\nok"},
+	{"byte above 127 in a name", okLine + "X\xffY: 1\r\nContent-Length: 2\r\n\r\nok"},
+	{"empty name", okLine + ": 1\r\nContent-Length: 2\r\n\r\nok"},
+	{"field without a colon", okLine + "X-Y\r\nContent-Length: 2\r\n\r\nok"},
+	{"continued line", okLine + "X-Y: 1\r\n 2\r\nContent-Length: 2\r\n\r\nok"},
+	{"NUL in a value", okLine + "X-Y: 1\x002\r\nContent-Length: 2\r\n\r\nok"},
+	{"DEL in a value", okLine + "X-Y: 1\x7f2\r\nContent-Length: 2\r\n\r\nok"},
+	{"carriage return in a value", okLine + "X-Y: 1\r2\r\nContent-Length: 2\r\n\r\nok"},
 	{"line feeds alone", "HTTP/1.1 200 OK\nContent-Length: 2\n\nok"},
-	{"blank before the colon of a coding, beside a length", okHead + "Transfer-Encoding : chunked\r\nContent-Length: 12\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
-	{"coding beside a length", okHead + "Transfer-Encoding: chunked\r\nContent-Length: 12\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+	{"blank before the colon of a coding, beside a length", okLine + "Transfer-Encoding : chunked\r\nContent-Length: 12\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+	{"coding beside a length", okLine + "Transfer-Encoding: chunked\r\nContent-Length: 12\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
 	{"coding in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
-	{"unknown coding", okHead + "Transfer-Encoding: xchunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
-	{"two codings", okHead + "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
-	{"two lengths", okHead + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nok"},
-	{"list of lengths", okHead + "Content-Length: 2, 2\r\n\r\nok"},
-	{"length with a sign", okHead + "Content-Length: +2\r\n\r\nok"},
-	{"empty length", okHead + "Content-Length: \r\n\r\nok"},
+	{"unknown coding", okLine + "Transfer-Encoding: xchunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+	{"two codings", okLine + "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+	{"two lengths", okLine + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nok"},
+	{"list of lengths", okLine + "Content-Length: 2, 2\r\n\r\nok"},
+	{"length with a sign", okLine + "Content-Length: +2\r\n\r\nok"},
+	{"empty length", okLine + "Content-Length: \r\n\r\nok"},
 	{"body of a status without one", "HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\nok"},
-	{"chunk size with a sign", chunkHead + "+2\r\nok\r\n0\r\n\r\n"},
-	{"chunk size with a blank", chunkHead + "2 \r\nok\r\n0\r\n\r\n"},
-	{"empty chunk size", chunkHead + "\r\nok\r\n0\r\n\r\n"},
-	{"control byte in a chunk extension", chunkHead + "2;a=\x00\r\nok\r\n0\r\n\r\n"},
-	{"chunk longer than its size", chunkHead + "2\r\nokk\r\n0\r\n\r\n"},
-	{"line feed alone after a chunk size", chunkHead + "2\nok\r\n0\r\n\r\n"},
-	{"blank in the name of a trailer", chunkHead + "2\r\nok\r\n0\r\nX y: 1\r\n\r\n"},
-	{"no end of the trailer", chunkHead + "2\r\nok\r\n0\r\n"},
+	{"chunk size with a sign", chunked + "+2\r\nok\r\n0\r\n\r\n"},
+	{"chunk size with a blank", chunked + "2 \r\nok\r\n0\r\n\r\n"},
+	{"empty chunk size", chunked + "\r\nok\r\n0\r\n\r\n"},
+	{"control byte in a chunk extension", chunked + "2;a=\x00\r\nok\r\n0\r\n\r\n"},
+	{"chunk longer than its size", chunked + "2\r\nokk\r\n0\r\n\r\n"},
+	{"line feed alone after a chunk size", chunked + "2\nok\r\n0\r\n\r\n"},
+	{"blank in the name of a trailer", chunked + "2\r\nok\r\n0\r\nX y: 1\r\n\r\n"},
+	{"no end of the trailer", chunked + "2\r\nok\r\n0\r\n"},
 }
 
 var _ = Describe("bytes that are no response", func() {
@@ -92,7 +87,7 @@
 
 	It("are not taken from the trailer for fields of the head", func() {
 		p := newPeer(func(_ int, c net.Conn) bool {
-			_, err := io.WriteString(c, chunkHead+"2\r\nok\r\n0\r\nSigned: yes\r\n\r\n")
+			_, err := io.WriteString(c, chunked+"2\r\nok\r\n0\r\nSigned: yes\r\n\r\n")
 			return err == nil
 		})
 		c := sendonce.New(p.addr(), sendonce.Options{})
@@ -108,22 +103,7 @@
 	// of the request took the error of the reset.
 	It("is not complete when the connection is reset", func() {
 		const upload = 16 << 20 // more than the buffers of the sockets hold
-		for _, call := range []func(context.Context, *sendonce.Client, *fasthttp.Request) (string, error){
-			func(ctx context.Context, c *sendonce.Client, req *fasthttp.Request) (string, error) {
-				resp := fasthttp.AcquireResponse()
-				err := c.Do(ctx, req, resp)
-				return string(resp.Body()), err
-			},
-			func(ctx context.Context, c *sendonce.Client, req *fasthttp.Request) (string, error) {
-				s, err := c.Stream(ctx, req, 0)
-				if err != nil {
-					return "", err
-				}
-				defer s.Close()
-				body, err := io.ReadAll(s)
-				return string(body), err
-			},
-		} {
+		for _, call := range []func(context.Context, *sendonce.Client, *fasthttp.Request) (string, error){doWhole, streamWithin(0)} {
 			for read := 1 << 10; read <= upload; read *= 2 {
 				for _, pause := range []time.Duration{0, time.Millisecond, 10 * time.Millisecond, 40 * time.Millisecond} {
 					ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -134,7 +114,7 @@
 							return
 						}
 						_, _ = io.CopyN(io.Discard, c, int64(read))
-						_, _ = io.WriteString(c, okHead+"Connection: close\r\n\r\npart")
+						_, _ = io.WriteString(c, okLine+"Connection: close\r\n\r\npart")
 						time.Sleep(pause)
 						_ = c.(*net.TCPConn).SetLinger(0)
 						_ = c.Close()
@@ -155,7 +135,7 @@
 	It("is not complete when the connection is reset after the upload has been written", func() {
 		for range 50 {
 			p := newPeer(func(_ int, c net.Conn) bool {
-				_, _ = io.WriteString(c, okHead+"Connection: close\r\n\r\npart")
+				_, _ = io.WriteString(c, okLine+"Connection: close\r\n\r\npart")
 				_ = c.(*net.TCPConn).SetLinger(0)
 				return false
 			})
