review 11: an odd entry brings a replica that has left back into use

Cause: an entry without version, sequence and cold_remaining_ms, as another writer may leave it, is taken for that of a replica. The stand-ins have the build tag review now, so that they stay out of the default build and tests. Nothing is fixed.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the cases 11 to 15 into target/review-4/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-4/standin ./review/standin-4
+go build -tags review -o target/review-4/standin ./review/standin-4
--- a/review/standin-4/bigconfig.go
+++ b/review/standin-4/bigconfig.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/standin-4/config.go
+++ b/review/standin-4/config.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 // apiKey is the key of the only tenant.
--- a/review/standin-4/main.go
+++ b/review/standin-4/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command standin-4 plays the cases of the third review: stand-ins of the platform's store, of
 // replicas and of clients, and entry hosts as processes of their own.
 package main
@@ -15,7 +17,7 @@
 )
 
 var cases = map[string]func(w *world, trouble bool) (code int, verdict string, err error){
-	"11": stormCase,
+	"11": ghostCase,
 	"12": bigConfigCase,
 	"13": drainCase,
 }
