review: the stand-ins use loopback addresses alone

Cause: free ports were looked for on all addresses of the machine, while every address in a case has to be a loopback address. Change: they are looked for on the hosts' own addresses, which differ between cases that are played beside each other.

--- a/review/standin-4/world.go
+++ b/review/standin-4/world.go
@@ -93,11 +93,20 @@
 // addHosts adds entry hosts, each with a loopback address of its own, one for each of the zones
 // given.
 func (w *world) addHosts(zones ...string) error {
-	ports := freePorts(5)
+	// Cases that are played beside each other have other addresses.
+	const firstBlock, blocks, firstHost = 1, 250, 10
+	var ips []string
+	for i := range zones {
+		ips = append(ips, fmt.Sprintf("127.41.%d.%d", firstBlock+os.Getpid()%blocks, firstHost+i))
+	}
+	ports, err := freePorts(ips, 5)
+	if err != nil {
+		return err
+	}
 	at := func(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
 	var seeds []string
 	for i, zone := range zones {
-		ip := fmt.Sprintf("127.0.41.%d", 10+i)
+		ip := ips[i]
 		d, err := w.store.openDoor()
 		if err != nil {
 			return err
@@ -120,30 +129,45 @@
 	return nil
 }
 
-// freePorts returns ports that are free on all loopback addresses, as far as can be told. The
-// port after the last but one is the last.
-func freePorts(n int) []int {
-	for {
-		var list []net.Listener
-		var ports []int
-		for len(ports) < n-1 {
-			ln, err := net.Listen("tcp4", "0.0.0.0:0")
-			if err != nil {
-				break
-			}
-			list, ports = append(list, ln), append(ports, ln.Addr().(*net.TCPAddr).Port)
+// freePorts returns n ports that are free on all of the loopback addresses ips, as far as can be
+// told. The last one follows the last but one.
+func freePorts(ips []string, n int) ([]int, error) {
+	for range portTries {
+		if ports, ok := tryPorts(ips, n); ok {
+			return ports, nil
 		}
-		next, err := net.Listen("tcp4", fmt.Sprintf("0.0.0.0:%d", ports[len(ports)-1]+1))
-		if err == nil {
-			list, ports = append(list, next), append(ports, ports[len(ports)-1]+1)
-		}
-		for _, ln := range list {
+	}
+	return nil, fmt.Errorf("no %d free ports on %v", n, ips)
+}
+
+// portTries is how often free ports are looked for.
+const portTries = 100
+
+func tryPorts(ips []string, n int) (ports []int, ok bool) {
+	var held []net.Listener
+	defer func() {
+		for _, ln := range held {
 			_ = ln.Close()
 		}
-		if len(ports) == n {
-			return ports
+	}()
+	// hold takes a port, 0 for any, on all addresses.
+	hold := func(port int) bool {
+		for _, ip := range ips {
+			ln, err := net.Listen("tcp4", net.JoinHostPort(ip, strconv.Itoa(port)))
+			if err != nil {
+				return false
+			}
+			held, port = append(held, ln), ln.Addr().(*net.TCPAddr).Port
+		}
+		ports = append(ports, port)
+		return true
+	}
+	for len(ports) < n-1 {
+		if !hold(0) {
+			return nil, false
 		}
 	}
+	return ports, hold(ports[n-2] + 1)
 }
 
 // yaml returns the settings file of DEPLOY.md.
